--- /dev/null
+++ b/currantwharf/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""The outside interfaces: callers, peers, operators, the platform, backends."""
--- /dev/null
+++ b/currantwharf/adapters/caller_server.py
@@ -0,0 +1,123 @@
+"""The callers' interface: one request in, one typed answer out, over HTTP."""
+
+from typing import Any, Protocol
+
+import msgspec
+from klein import Klein
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.web.server import Request
+
+from currantwharf.adapters.bounded_site import read_body
+from currantwharf.adapters.caller_body import parse_caller_request
+from currantwharf.adapters.caller_error import CallerError, CallerErrorType
+from currantwharf.config import PublishedConfig
+from currantwharf.query import CallerRequest, QueryResult
+from currantwharf.wire import Outcome, Reason
+
+STATUS_OF_REASON = {
+    Reason.ID_REUSED: 409,
+    Reason.QUARANTINED: 422,
+}
+STATUS_OF_OUTCOME = {
+    Outcome.ANSWERED: 200,
+    Outcome.NOT_RUN: 503,
+    Outcome.UNKNOWN: 504,
+}
+
+
+class CallerHandler(Protocol):
+    """What the callers' interface needs from the instance."""
+
+    def config_for_callers(self) -> PublishedConfig | None:
+        """Return the configuration, or None while no request may be taken."""
+
+    def clocks(self) -> tuple[float, float]:
+        """Return the monotonic clock and the Unix time, in seconds."""
+
+    def run(self, request: CallerRequest) -> "Deferred[QueryResult]":
+        """Run a request and give its result."""
+
+    def count_refused(self, error: CallerErrorType) -> None:
+        """Count a request that was refused for its input."""
+
+
+def caller_resource(handler: CallerHandler) -> Any:
+    """Return the web resource of the callers' interface."""
+    app = Klein()
+
+    @app.route("/v1/requests", methods=["POST"])
+    def requests(request: Request) -> "Deferred[bytes]":
+        return ensureDeferred(_answer(handler, request))
+
+    @app.route("/ready")
+    def ready(request: Request) -> bytes:
+        if handler.config_for_callers() is None:
+            request.setResponseCode(503)
+            return b'{"ready":false}'
+        return b'{"ready":true}'
+
+    @app.handle_errors(Exception)
+    def failed(request: Request, failure: Any) -> bytes:
+        status = getattr(failure.value, "code", 500)
+        request.setResponseCode(status)
+        request.setHeader("content-type", "application/json")
+        return b'{"outcome":"not_run","error":{"type":"no_such_resource"}}'
+
+    return app.resource()
+
+
+async def _answer(handler: CallerHandler, request: Request) -> bytes:
+    request.setHeader("content-type", "application/json")
+    config = handler.config_for_callers()
+    if config is None:
+        request.setResponseCode(503)
+        return encode_error("not_ready", "this instance takes no requests now")
+    raw: bytes = read_body(request)
+    now, wall = handler.clocks()
+    parsed = parse_caller_request(raw, config, now, wall)
+    if parsed.is_err():
+        error: CallerError = parsed.unwrap_err()
+        handler.count_refused(error.type)
+        request.setResponseCode(400)
+        return encode_error(error.type, error.detail)
+    result = await handler.run(parsed.unwrap())
+    status = STATUS_OF_REASON.get(result.reason, STATUS_OF_OUTCOME[result.outcome])
+    request.setResponseCode(status)
+    return encode_result(result)
+
+
+def encode_error(kind: str, detail: str) -> bytes:
+    """Return the body that refuses a request which was not run."""
+    error = {"type": kind, "detail": detail}
+    return msgspec.json.encode({"outcome": Outcome.NOT_RUN, "error": error})
+
+
+def encode_result(result: QueryResult) -> bytes:
+    """Return the body that answers a request.
+
+    >>> from currantwharf.query import Coverage
+    >>> result = QueryResult("r1", "lookup", "c", Outcome.NOT_RUN, Reason.OVERLOADED,
+    ...                      "v1", Coverage(0, 2))
+    >>> b'"error":{"type":"overloaded"}' in encode_result(result)
+    True
+    """
+    fields: dict[str, object] = {
+        "id": result.request_id,
+        "outcome": result.outcome,
+        "index_version": result.index_version,
+        "coverage": {
+            "answered": result.coverage.answered,
+            "shards": result.coverage.shards,
+        },
+        "duplicate": result.duplicate,
+        "restarts": result.restarts,
+        "hits": result.hits,
+    }
+    if result.reason is not Reason.NONE:
+        fields["error"] = {"type": result.reason}
+    return msgspec.json.encode(fields)
+
+
+def encode_stored(result: QueryResult) -> bytes:
+    """Return the form in which holders of an id keep the answer of its run."""
+    return msgspec.json.encode(result)
--- /dev/null
+++ b/currantwharf/adapters/peer_client.py
@@ -0,0 +1,63 @@
+"""The peer interface, seen from the calling instance."""
+
+from typing import Any
+
+import msgspec
+import treq
+from twisted.web.http_headers import Headers
+
+from currantwharf.adapters.http_pool import make_agent
+from currantwharf.adapters.peer_error import PeerError
+from currantwharf.fleet import InstanceList
+from currantwharf.wire import Ack, MemberNews
+
+CONNECTIONS = 4  # idle connections kept to each peer
+CALL_S = 2.0  # seconds for one call
+JSON_HEADERS = Headers({"content-type": ["application/json"]})
+
+
+class PeerClient:
+    """Call other instances over HTTP with JSON."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._agent = make_agent(reactor, CONNECTIONS)
+
+    async def post(self, address: str, envelope: bytes) -> Ack:
+        """Deliver an envelope and return the peer's acknowledgement."""
+        response = await treq.post(
+            f"http://{address}/peer/messages",
+            data=envelope,
+            headers=JSON_HEADERS,
+            agent=self._agent,
+            timeout=CALL_S,
+        )
+        return msgspec.json.decode(await _body_of(response), type=Ack)
+
+    async def get_config(self, address: str) -> tuple[int, bytes]:
+        """Return the version and the document of a peer's configuration."""
+        response = await self._get(address, "/peer/config")
+        body = await _body_of(response)
+        (version,) = response.headers.getRawHeaders("config-version", ["0"])
+        return int(version), body
+
+    async def get_list(self, address: str) -> InstanceList:
+        """Return the instance list that a peer holds."""
+        body = await _body_of(await self._get(address, "/peer/instances"))
+        return msgspec.json.decode(body, type=InstanceList)
+
+    async def get_members(self, address: str) -> tuple[MemberNews, ...]:
+        """Return all that a peer believes of the fleet."""
+        body = await _body_of(await self._get(address, "/peer/members"))
+        return msgspec.json.decode(body, type=tuple[MemberNews, ...])
+
+    async def _get(self, address: str, path: str) -> Any:
+        return await treq.get(
+            f"http://{address}{path}", agent=self._agent, timeout=CALL_S
+        )
+
+
+async def _body_of(response: Any) -> bytes:
+    body: bytes = await treq.content(response)
+    if response.code != 200:
+        raise PeerError(response.code)
+    return body
--- /dev/null
+++ b/currantwharf/adapters/peer_server.py
@@ -0,0 +1,61 @@
+"""The peer interface, seen from the called instance."""
+
+from typing import Any, Protocol
+
+import msgspec
+from klein import Klein
+from twisted.web.server import Request
+
+from currantwharf.adapters.bounded_site import read_body
+from currantwharf.config import VersionedConfig
+from currantwharf.fleet import InstanceList
+from currantwharf.wire import Ack, Envelope, MemberNews, unpack
+
+
+class PeerHandler(Protocol):
+    """What the peer interface needs from the instance."""
+
+    def take_envelope(self, envelope: Envelope) -> Ack:
+        """Take the messages in and say how this instance stands."""
+
+    def held_config(self) -> VersionedConfig | None:
+        """Return the configuration in force."""
+
+    def held_list(self) -> InstanceList:
+        """Return the instance list."""
+
+    def beliefs(self) -> tuple[MemberNews, ...]:
+        """Return all beliefs about the fleet."""
+
+
+def peer_resource(handler: PeerHandler) -> Any:
+    """Return the web resource of the peer interface."""
+    app = Klein()
+
+    @app.route("/peer/messages", methods=["POST"])
+    def messages(request: Request) -> bytes:
+        try:
+            envelope = unpack(read_body(request))
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            request.setResponseCode(400)
+            return b'{"error":"not_an_envelope"}'
+        return msgspec.json.encode(handler.take_envelope(envelope))
+
+    @app.route("/peer/config")
+    def config(request: Request) -> bytes:
+        held = handler.held_config()
+        if held is None:
+            request.setResponseCode(404)
+            return b"{}"
+        request.setHeader("config-version", str(held.version))
+        return held.document
+
+    @app.route("/peer/instances")
+    def instances(request: Request) -> bytes:
+        return msgspec.json.encode(handler.held_list())
+
+    @app.route("/peer/members")
+    def members(request: Request) -> bytes:
+        return msgspec.json.encode(handler.beliefs())
+
+    return app.resource()
--- /dev/null
+++ b/currantwharf/config/__init__.py
@@ -0,0 +1,31 @@
+"""The published configuration: its shape, its checks and when a new one counts."""
+
+from currantwharf.config.accept_config import is_newer
+from currantwharf.config.backend_server import BackendServer
+from currantwharf.config.check_references import check_references
+from currantwharf.config.data_centre import DataCentre
+from currantwharf.config.document import parse_document
+from currantwharf.config.invalid_document import InvalidDocument
+from currantwharf.config.parse_config import parse_config
+from currantwharf.config.problem import Problem
+from currantwharf.config.published_config import PublishedConfig
+from currantwharf.config.request_class import RequestClass
+from currantwharf.config.service import Service
+from currantwharf.config.targets import Targets
+from currantwharf.config.versioned_config import VersionedConfig
+
+__all__ = [
+    "BackendServer",
+    "DataCentre",
+    "InvalidDocument",
+    "Problem",
+    "PublishedConfig",
+    "RequestClass",
+    "Service",
+    "Targets",
+    "VersionedConfig",
+    "check_references",
+    "is_newer",
+    "parse_config",
+    "parse_document",
+]
--- /dev/null
+++ b/currantwharf/config/document.py
@@ -0,0 +1,106 @@
+"""Check a document against a frozen data class and report every fault at once.
+
+The rules are read by pydantic from the annotations of the data class. Unknown keys
+are refused and the nearest known key is named.
+"""
+
+import dataclasses
+import difflib
+import types
+from collections.abc import Mapping
+from typing import Any, TypeVar, get_args, get_origin
+
+from pydantic import ConfigDict, TypeAdapter, ValidationError
+from pydantic_core import ErrorDetails
+from result import Err, Ok, Result
+
+from currantwharf.config.invalid_document import InvalidDocument
+from currantwharf.config.problem import Problem
+
+T = TypeVar("T")
+
+FOUND_TEXT_LIMIT = 60  # characters
+
+_adapters: dict[type, TypeAdapter[Any]] = {}
+
+
+def parse_document(
+    schema: type[T], value: object, source: str
+) -> Result[T, InvalidDocument]:
+    """Return `value` as an instance of `schema`, or every problem that it has.
+
+    `source` names the document in messages: a file's path or a published key. The
+    cost is linear in the size of the document.
+
+    >>> from currantwharf.config.data_centre import DataCentre
+    >>> parse_document(DataCentre, {"region": "north"}, "example").unwrap().region
+    'north'
+    >>> print(parse_document(DataCentre, {"regoin": "north"}, "example").unwrap_err())
+    example: region: found nothing; allowed: a value is required
+    example: regoin: found an unknown key; allowed: did you mean 'region'?
+    """
+    adapter = _adapters.get(schema)
+    if adapter is None:
+        _refuse_unknown_keys(schema)
+        adapter = _adapters[schema] = TypeAdapter(schema)
+    try:
+        return Ok(adapter.validate_python(value))
+    except ValidationError as exc:
+        problems = tuple(_problem(schema, error) for error in exc.errors())
+        return Err(InvalidDocument(source, problems))
+
+
+def _refuse_unknown_keys(schema: type) -> None:
+    """Mark a data class and those it holds, so that pydantic refuses unknown keys."""
+    if not dataclasses.is_dataclass(schema) or "__pydantic_config__" in vars(schema):
+        return
+    schema.__pydantic_config__ = ConfigDict(extra="forbid")  # type: ignore[attr-defined]
+    for field in dataclasses.fields(schema):
+        for inner in _classes_in(field.type):
+            _refuse_unknown_keys(inner)
+
+
+def _classes_in(annotation: Any) -> list[type]:
+    if isinstance(annotation, type) and not isinstance(annotation, types.GenericAlias):
+        return [annotation]
+    return [found for arg in get_args(annotation) for found in _classes_in(arg)]
+
+
+def _problem(schema: type, error: ErrorDetails) -> Problem:
+    path = ".".join(str(step) for step in error["loc"]) or "(the whole document)"
+    if error["type"] == "missing":
+        return Problem(path, "nothing", "a value is required")
+    if error["type"] == "unexpected_keyword_argument":
+        return Problem(path, "an unknown key", _nearest_key(schema, error["loc"]))
+    if error["type"] in ("dataclass_type", "dataclass_exact_type"):
+        return Problem(path, _shorten(error["input"]), "a mapping of keys to values")
+    return Problem(path, _shorten(error["input"]), error["msg"].lower())
+
+
+def _nearest_key(schema: type, loc: tuple[int | str, ...]) -> str:
+    known = _keys_at(schema, loc[:-1])
+    near = difflib.get_close_matches(str(loc[-1]), known, n=1)
+    if near:
+        return f"did you mean '{near[0]}'?"
+    return "one of " + ", ".join(known)
+
+
+def _keys_at(schema: type, loc: tuple[int | str, ...]) -> list[str]:
+    """Walk `loc` down through data classes and mappings to the keys allowed there."""
+    current: Any = schema
+    for step in loc:
+        if dataclasses.is_dataclass(current):
+            fields = {field.name: field.type for field in dataclasses.fields(current)}
+            current = fields.get(str(step))
+        elif get_origin(current) in (dict, Mapping, tuple, list):
+            current = get_args(current)[-1]
+    if dataclasses.is_dataclass(current):
+        return [field.name for field in dataclasses.fields(current)]
+    return []
+
+
+def _shorten(value: object) -> str:
+    text = repr(value)
+    if len(text) > FOUND_TEXT_LIMIT:
+        return text[: FOUND_TEXT_LIMIT - 3] + "..."
+    return text
--- /dev/null
+++ b/currantwharf/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: a small site on loopback, with faults."""
--- /dev/null
+++ b/currantwharf/demo/site_plan.py
@@ -0,0 +1,135 @@
+"""The plan of a site on loopback: instances, backend servers and their addresses."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from currantwharf.config import (
+    BackendServer,
+    DataCentre,
+    PublishedConfig,
+    RequestClass,
+    Service,
+    Targets,
+)
+from currantwharf.fleet import InstanceList, ListedInstance
+from currantwharf.settings import Settings
+
+HOST = "127.0.0.1"
+PLATFORM_OFFSET = 0  # of the first port
+BACKEND_OFFSET = 400
+INSTANCE_OFFSET = 10
+PORTS_PER_INSTANCE = 3
+
+
+@dataclass(frozen=True, slots=True)
+class SitePlan:
+    """Say how large a site is.
+
+    Each of `services` has `shards` shards with `replicas` replicas, placed in
+    different data centres. `service_ms` is the usual service time.
+    """
+
+    data_centres: tuple[str, ...]
+    services: tuple[str, ...]
+    ledgers: tuple[str, ...]
+    shards: int = 1
+    replicas: int = 2
+    slots: int = 2
+    instances: int = 3
+    service_ms: float = 10.0
+    first_port: int = 19000
+
+    @property
+    def platform(self) -> str:
+        """The address of the platform."""
+        return f"{HOST}:{self.first_port + PLATFORM_OFFSET}"
+
+
+def config_of(plan: SitePlan) -> PublishedConfig:
+    """Return the configuration that the operator of the site publishes."""
+    servers: dict[str, BackendServer] = {}
+    services: dict[str, Service] = {}
+    for name in plan.services + plan.ledgers:
+        shards = {}
+        for shard in range(plan.shards):
+            shards[str(shard)] = _add_replicas(plan, f"{name}-{shard}", servers)
+        services[name] = Service(shards)
+    return PublishedConfig(
+        "index-1",
+        {name: DataCentre("west") for name in plan.data_centres},
+        servers,
+        services,
+        _classes_of(plan),
+    )
+
+
+def instance_settings(plan: SitePlan) -> list[Settings]:
+    """Return the settings of every instance of the site."""
+    return [
+        Settings(
+            instance=f"i{number}",
+            data_centre=plan.data_centres[number % len(plan.data_centres)],
+            host=HOST,
+            caller_port=_port(plan, number, 0),
+            peer_port=_port(plan, number, 1),
+            operator_port=_port(plan, number, 2),
+            platform=plan.platform,
+            log_level="warning",
+            stop_within_s=20.0,
+        )
+        for number in range(plan.instances)
+    ]
+
+
+def list_of(plan: SitePlan) -> InstanceList:
+    """Return the platform's list of the site's instances."""
+    instances = {
+        settings.instance: ListedInstance(
+            f"{settings.host}:{settings.peer_port}", settings.data_centre
+        )
+        for settings in instance_settings(plan)
+    }
+    return InstanceList(1, instances)
+
+
+def encode(value: PublishedConfig | InstanceList) -> bytes:
+    """Return the JSON form of a published value."""
+    return msgspec.json.encode(value)
+
+
+def _port(plan: SitePlan, number: int, offset: int) -> int:
+    first = plan.first_port + INSTANCE_OFFSET
+    return first + number * PORTS_PER_INSTANCE + offset
+
+
+def _add_replicas(
+    plan: SitePlan, shard: str, servers: dict[str, BackendServer]
+) -> tuple[str, ...]:
+    names = []
+    for replica in range(plan.replicas):
+        number = len(servers)
+        name = f"{shard}-{replica}"
+        centre = plan.data_centres[number % len(plan.data_centres)]
+        port = plan.first_port + BACKEND_OFFSET + number
+        servers[name] = BackendServer(f"{HOST}:{port}", centre, slots=plan.slots)
+        names.append(name)
+    return tuple(names)
+
+
+def _classes_of(plan: SitePlan) -> dict[str, RequestClass]:
+    classes = {
+        "grain-lookup": RequestClass(
+            plan.services, Targets(latency_ms=150, coverage=0.8, prefer="latency")
+        ),
+    }
+    if plan.ledgers:
+        classes["warranty-claim"] = RequestClass(
+            plan.ledgers, Targets(latency_ms=300, prefer="coverage")
+        )
+        classes["block-order"] = RequestClass(
+            plan.ledgers,
+            Targets(latency_ms=500, extra_load=0, prefer="coverage"),
+            idempotent=False,
+        )
+    return classes
--- /dev/null
+++ b/currantwharf/fleet/__init__.py
@@ -0,0 +1,29 @@
+"""How the instances act together: membership, owners, readers, life and pauses."""
+
+from currantwharf.fleet.instance_list import EMPTY_LIST, InstanceList
+from currantwharf.fleet.lifecycle import Life, LifeRecord, Phase, new_life
+from currantwharf.fleet.listed_instance import ListedInstance
+from currantwharf.fleet.member import Member, MemberState
+from currantwharf.fleet.membership import Membership
+from currantwharf.fleet.owners import Owners
+from currantwharf.fleet.pause import PauseDetector
+from currantwharf.fleet.readers import is_reader
+from currantwharf.fleet.rendezvous import highest, top
+
+__all__ = [
+    "EMPTY_LIST",
+    "InstanceList",
+    "Life",
+    "LifeRecord",
+    "ListedInstance",
+    "Member",
+    "MemberState",
+    "Membership",
+    "Owners",
+    "PauseDetector",
+    "Phase",
+    "highest",
+    "is_reader",
+    "new_life",
+    "top",
+]
--- /dev/null
+++ b/currantwharf/node/__init__.py
@@ -0,0 +1,15 @@
+"""The running process: tasks that own their state and talk by messages."""
+
+from currantwharf.node.clock import SystemClock
+from currantwharf.node.instance import Instance
+from currantwharf.node.part_log import part_log, set_up_logs
+from currantwharf.node.serve import listen, serve
+
+__all__ = [
+    "Instance",
+    "SystemClock",
+    "listen",
+    "part_log",
+    "serve",
+    "set_up_logs",
+]
--- /dev/null
+++ b/currantwharf/node/clock.py
@@ -0,0 +1,15 @@
+"""The only place that reads the clocks; everything else is told the time."""
+
+from time import monotonic, time
+
+
+class SystemClock:
+    """Read the clocks of the machine, in seconds."""
+
+    def now(self) -> float:
+        """Return the monotonic clock, for every wait and deadline."""
+        return monotonic()
+
+    def wall(self) -> float:
+        """Return the Unix time, for comparison with a caller's."""
+        return time()
--- /dev/null
+++ b/currantwharf/node/fleet_task.py
@@ -0,0 +1,346 @@
+"""The task that keeps up with the fleet: members, configuration, list and life."""
+
+import random
+from typing import Any, Protocol
+
+from twisted.internet.defer import ensureDeferred, gatherResults
+from twisted.internet.task import deferLater
+
+from currantwharf.adapters.peer_client import PeerClient
+from currantwharf.adapters.platform_client import PlatformClient
+from currantwharf.config import PublishedConfig, VersionedConfig, is_newer, parse_config
+from currantwharf.fleet import (
+    InstanceList,
+    LifeRecord,
+    Membership,
+    Owners,
+    PauseDetector,
+    Phase,
+    is_reader,
+    new_life,
+)
+from currantwharf.node.clock import SystemClock
+from currantwharf.node.part_log import part_log
+from currantwharf.wire import Ack, Heartbeat, pack
+
+TICK_S = 0.1  # seconds between two looks at the clock
+HEARTBEAT_S = 0.5  # seconds between two probes
+PUSH_TO = 3  # peers that hear at once of a new configuration
+ASK_AT_JOIN = 3  # peers that a joining or woken instance asks
+WATCH_S = 20.0  # seconds that one watch at the platform waits
+READER_CHECK_S = 1.0  # seconds
+RETRY_S = 0.5  # seconds after a failed call to the platform
+
+log = part_log("fleet")
+
+
+class FleetListener(Protocol):
+    """Who hears of changes in the fleet."""
+
+    def on_fleet_change(self) -> None:
+        """Hear that members, the list, the configuration or the phase changed."""
+
+    def on_list(self, listed: InstanceList) -> None:
+        """Hear of a newly adopted instance list."""
+
+    def on_pause(self, seconds: float) -> None:
+        """Hear that this process did not run for `seconds`."""
+
+    def send_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
+        """Send a heartbeat with the other messages for that peer."""
+
+
+class FleetTask:
+    """Own the membership, the configuration in force and the phase of life."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: SystemClock,
+        name: str,
+        boot_id: str,
+        data_centre: str,
+        peers: PeerClient,
+        platform: PlatformClient,
+        listener: FleetListener,
+        rng: random.Random,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._name = name
+        self._data_centre = data_centre
+        self._peers = peers
+        self._platform = platform
+        self._listener = listener
+        self._rng = rng
+        self.membership = Membership(name, boot_id, rng)
+        self.owners = Owners(self.membership, data_centre)
+        self.record = LifeRecord()
+        self._life = new_life(self.record)
+        self.config: VersionedConfig | None = None
+        self.config_at = 0.0
+        self.refused = ""
+        self._refused_version = 0
+        self._pauses = PauseDetector(clock.now())
+        self._next_probe = 0.0
+        self._seen_changes = -1
+        self._fetching: set[str] = set()
+        self.platform_calls = 0
+        self.platform_failures = 0
+
+    def start(self) -> None:
+        """Begin to learn, to watch and to probe."""
+        self._reactor.callLater(TICK_S, self._tick)
+        ensureDeferred(self._learn())
+        ensureDeferred(self._watch_config())
+        ensureDeferred(self._watch_list())
+
+    def standing(self) -> Ack:
+        """Return how this instance stands."""
+        membership = self.membership
+        return Ack(
+            membership.instance,
+            membership.boot_id,
+            membership.incarnation,
+            self.record.phase is Phase.READY,
+            self.record.phase in (Phase.STOPPING, Phase.STOPPED),
+            self.config.version if self.config is not None else 0,
+            membership.list.revision,
+        )
+
+    def owner_of(self, server: str, config: PublishedConfig) -> str | None:
+        """Return the owner of a server in this instance's view."""
+        return self.owners.owner_of(server, config)
+
+    def address_of(self, peer: str) -> str | None:
+        """Return the peer address of an instance, if it is listed."""
+        listed = self.membership.list.instances.get(peer)
+        return listed.address if listed is not None else None
+
+    def sees_fleet_majority(self) -> bool:
+        """Return whether this instance sees more than half of the listed ones."""
+        listed = self.membership.list.instances
+        seen = sum(1 for name in listed if self.membership.usable(name))
+        return 2 * (seen + 1) > len(listed)
+
+    def on_ack(self, ack: Ack) -> None:
+        """Hear an acknowledgement."""
+        self._hear(ack)
+
+    def on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Hear a heartbeat and the rumours in it."""
+        self._hear(heartbeat.standing)
+        self.membership.take_news(heartbeat.news, self._clock.now())
+        self._note_changes()
+
+    def on_silence(self, peer: str) -> None:
+        """Hear that a call to a peer failed."""
+        self.membership.suspect(peer, self._clock.now())
+        self._note_changes()
+
+    def observe_time(self) -> None:
+        """Look at the clock; a gap means that this process was paused."""
+        gap = self._pauses.observe(self._clock.now())
+        if gap:
+            log.warning("woke from a pause", extra={"seconds": round(gap, 2)})
+            self._life.woke()
+            self._listener.on_pause(gap)
+            self._note_phase()
+            ensureDeferred(self._learn())
+
+    def stop(self) -> None:
+        """Begin a graceful shutdown and tell the peers of this data centre."""
+        self._life.stop()
+        self._note_phase()
+        for peer in self._near_peers():
+            self._probe(peer)
+
+    def stopped(self) -> None:
+        """Note that nothing is left to finish."""
+        self._life.drained()
+
+    def _tick(self) -> None:
+        self.observe_time()
+        now = self._clock.now()
+        if now >= self._next_probe:
+            self._next_probe = now + HEARTBEAT_S
+            peer = self.membership.tick(now)
+            if peer is not None:
+                self._probe(peer)
+            self._note_changes()
+        if self.record.phase is not Phase.STOPPED:
+            self._reactor.callLater(TICK_S, self._tick)
+
+    def _probe(self, peer: str) -> None:
+        heartbeat = self.membership.heartbeat(self.standing())
+        self._listener.send_heartbeat(peer, heartbeat)
+
+    def _near_peers(self) -> list[str]:
+        listed = self.membership.list.instances
+        return [
+            name
+            for name in self.membership.peers()
+            if listed[name].data_centre == self._data_centre
+        ]
+
+    def _hear(self, standing: Ack) -> None:
+        self.membership.hear(standing, self._clock.now())
+        self._note_changes()
+        held = self.config
+        wanted = standing.config_version
+        if is_newer(wanted, held) and wanted > self._refused_version:
+            ensureDeferred(self._fetch_config(standing.instance))
+        if standing.list_revision > self.membership.list.revision:
+            ensureDeferred(self._fetch_list(standing.instance))
+
+    def _note_changes(self) -> None:
+        if self.membership.changes != self._seen_changes:
+            self._seen_changes = self.membership.changes
+            self._listener.on_fleet_change()
+
+    def _note_phase(self) -> None:
+        self.owners.set_self_usable(self.record.phase is Phase.READY)
+        log.info("the phase changed", extra={"phase": self.record.phase})
+        self._listener.on_fleet_change()
+
+    async def _learn(self) -> None:
+        """Hear the present state from peers and the platform, then be ready."""
+        while self.record.phase in (Phase.JOINING, Phase.RELEARNING):
+            platform_answered = await self._read_platform()
+            peer_answered = await self._ask_peers()
+            known = self.config is not None and self.membership.list.revision > 0
+            alone = not self.membership.peers()
+            if known and (peer_answered or platform_answered or alone):
+                self._life.heard()
+                self._note_phase()
+                for peer in self._near_peers():
+                    self._probe(peer)
+                return
+            await deferLater(self._reactor, RETRY_S, lambda: None)
+
+    async def _read_platform(self) -> bool:
+        try:
+            await self._read_list(0)
+            await self._read_config(0)
+        except Exception:
+            self.platform_failures += 1
+            return False
+        return True
+
+    async def _ask_peers(self) -> bool:
+        """Ask some peers how they stand and take what is newer; say if one did."""
+        peers = self.membership.peers()
+        chosen = self._rng.sample(peers, min(ASK_AT_JOIN, len(peers)))
+        asked = [ensureDeferred(self._ask_peer(peer)) for peer in chosen]
+        answers: list[bool] = await gatherResults(asked)
+        return any(answers)
+
+    async def _ask_peer(self, peer: str) -> bool:
+        address = self.address_of(peer)
+        if address is None:
+            return False
+        message = self.membership.heartbeat(self.standing())
+        envelope = pack(self._name, self.membership.boot_id, [message])
+        try:
+            ack = await self._peers.post(address, envelope)
+            self.membership.hear(ack, self._clock.now())
+            news = await self._peers.get_members(address)
+            self.membership.take_news(news, self._clock.now())
+        except Exception:
+            return False
+        if is_newer(ack.config_version, self.config):
+            await self._fetch_config(peer)
+        self._note_changes()
+        return True
+
+    async def _fetch_config(self, peer: str) -> None:
+        address = self.address_of(peer)
+        if address is None or "config" in self._fetching:
+            return
+        self._fetching.add("config")
+        try:
+            version, document = await self._peers.get_config(address)
+            self._take_config(version, document)
+        except Exception as exc:
+            log.warning("a peer's configuration was not read", extra={"why": repr(exc)})
+        finally:
+            self._fetching.discard("config")
+
+    async def _fetch_list(self, peer: str) -> None:
+        address = self.address_of(peer)
+        if address is None or "list" in self._fetching:
+            return
+        self._fetching.add("list")
+        try:
+            self._take_list(await self._peers.get_list(address))
+        except Exception as exc:
+            log.warning("a peer's list was not read", extra={"why": repr(exc)})
+        finally:
+            self._fetching.discard("list")
+
+    async def _watch_config(self) -> None:
+        while self.record.phase is not Phase.STOPPED:
+            await self._watch_once(self._read_config)
+
+    async def _watch_list(self) -> None:
+        while self.record.phase is not Phase.STOPPED:
+            await self._watch_once(self._read_list)
+
+    async def _watch_once(self, read: Any) -> None:
+        if not self._is_reader():
+            await deferLater(self._reactor, READER_CHECK_S, lambda: None)
+            return
+        try:
+            await read(WATCH_S)
+        except Exception:
+            self.platform_failures += 1
+            await deferLater(self._reactor, RETRY_S, lambda: None)
+
+    def _is_reader(self) -> bool:
+        near = [name for name in self._near_peers() if self.membership.usable(name)]
+        return is_reader(self._name, near)
+
+    async def _read_config(self, wait_s: float) -> None:
+        self.platform_calls += 1
+        after = self.config.version if self.config is not None else 0
+        after = max(after, self._refused_version)
+        found = await self._platform.watch_config(after, wait_s)
+        if found is not None:
+            self._take_config(*found)
+
+    async def _read_list(self, wait_s: float) -> None:
+        self.platform_calls += 1
+        after = self.membership.list.revision
+        found = await self._platform.watch_list(after, wait_s)
+        if found is not None:
+            self._take_list(found)
+
+    def _take_config(self, version: int, document: bytes) -> None:
+        if not is_newer(version, self.config):
+            return
+        parsed = parse_config(version, document)
+        if parsed.is_err():
+            self.refused = f"version {version}: {parsed.unwrap_err()}"
+            self._refused_version = max(self._refused_version, version)
+            log.error("a configuration was refused", extra={"version": version})
+            return
+        self.config = parsed.unwrap()
+        self.config_at = self._clock.wall()
+        self.refused = ""
+        self.owners.forget()
+        log.info("a configuration is in force", extra={"version": version})
+        self._listener.on_fleet_change()
+        self._push()
+
+    def _take_list(self, listed: InstanceList) -> None:
+        if self.membership.take_list(listed, self._clock.now()):
+            log.info("an instance list counts", extra={"revision": listed.revision})
+            self._listener.on_list(listed)
+            self._note_changes()
+            self._push()
+
+    def _push(self) -> None:
+        """Tell a few peers at once; each of them tells a few more."""
+        peers = self.membership.peers()
+        for peer in self._rng.sample(peers, min(PUSH_TO, len(peers))):
+            self._probe(peer)
--- /dev/null
+++ b/currantwharf/node/instance.py
@@ -0,0 +1,228 @@
+"""One instance: the tasks wired together, and its three interfaces."""
+
+import os
+import random
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from currantwharf.adapters.backend_client import BackendClient
+from currantwharf.adapters.caller_error import CallerErrorType
+from currantwharf.adapters.caller_server import encode_stored
+from currantwharf.adapters.peer_client import PeerClient
+from currantwharf.adapters.platform_client import PlatformClient
+from currantwharf.config import BackendServer, PublishedConfig, VersionedConfig
+from currantwharf.fleet import InstanceList, Phase
+from currantwharf.metrics import Recorder, make_sink
+from currantwharf.node.clock import SystemClock
+from currantwharf.node.entry_task import EntryTask
+from currantwharf.node.fleet_task import FleetTask
+from currantwharf.node.owner_task import OwnerTask
+from currantwharf.node.post import Post
+from currantwharf.node.status import describe
+from currantwharf.once import ClaimTable, HolderHistory
+from currantwharf.query import CallerRequest, DeliveryFailed, QueryResult, Router
+from currantwharf.settings import Settings
+from currantwharf.wire import (
+    Ack,
+    Cancel,
+    Claim,
+    ClaimReply,
+    ClaimResult,
+    Envelope,
+    Heartbeat,
+    MemberNews,
+    PeerMessage,
+    ServerReleased,
+    ShardAnswer,
+    ShardRequest,
+    messages_of,
+)
+
+
+class Instance:
+    """Wire the tasks of one instance and pass messages between them."""
+
+    def __init__(self, settings: Settings, reactor: Any, clock: SystemClock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.boot_id = os.urandom(8).hex()
+        self._reactor = reactor
+        rng = random.Random(os.urandom(16))
+        name = settings.instance
+        peers = PeerClient(reactor)
+        platform = PlatformClient(reactor, settings.platform)
+        self.recorder = Recorder(make_sink(settings.statsd))
+        self.fleet = FleetTask(
+            reactor,
+            clock,
+            name,
+            self.boot_id,
+            settings.data_centre,
+            peers,
+            platform,
+            self,
+            rng,
+        )
+        self.history = HolderHistory(name, clock.wall())
+        self.claims = ClaimTable(name, self.history)
+        self.post = Post(
+            reactor, clock, peers, name, self.boot_id, self.fleet.address_of, self
+        )
+        self.router = Router(
+            lambda: self.fleet.config,
+            self.fleet.owner_of,
+            self.post.is_silent,
+            self._is_listed_as_leaving,
+        )
+        self.entry = EntryTask(
+            reactor,
+            clock,
+            f"{name}.{self.boot_id}",
+            self.router,
+            self.post,
+            self.history.holders_of,
+            encode_stored,
+            self.recorder,
+            rng,
+        )
+        self.owner = OwnerTask(
+            reactor,
+            clock,
+            name,
+            self.router,
+            self._owner_of,
+            self.post,
+            self._make_client,
+            self.recorder,
+        )
+        self._last_caller_at = clock.now()
+
+    def start(self) -> None:
+        """Begin to learn of the fleet."""
+        self.fleet.start()
+
+    # The callers' interface.
+
+    def config_for_callers(self) -> PublishedConfig | None:
+        """Return the configuration, or None while no request may be taken."""
+        self.fleet.observe_time()
+        if self.fleet.record.phase not in (Phase.READY, Phase.STOPPING):
+            return None
+        return self.fleet.config.config if self.fleet.config is not None else None
+
+    def clocks(self) -> tuple[float, float]:
+        """Return the monotonic clock and the Unix time, in seconds."""
+        return self.clock.now(), self.clock.wall()
+
+    def run(self, request: CallerRequest) -> "Deferred[QueryResult]":
+        """Run a caller's request."""
+        self._last_caller_at = self.clock.now()
+        return self.entry.run(request)
+
+    def count_refused(self, error: CallerErrorType) -> None:
+        """Count a request that was refused for its input."""
+        self.recorder.count(f"refused_input.{error}")
+
+    # The peer interface.
+
+    def take_envelope(self, envelope: Envelope) -> Ack:
+        """Take the messages of a peer in."""
+        self.fleet.observe_time()
+        for message in messages_of(envelope):
+            self._take(message, envelope.sender)
+        return self.fleet.standing()
+
+    def held_config(self) -> VersionedConfig | None:
+        """Return the configuration in force."""
+        return self.fleet.config
+
+    def held_list(self) -> InstanceList:
+        """Return the instance list."""
+        return self.fleet.membership.list
+
+    def beliefs(self) -> tuple[MemberNews, ...]:
+        """Return all beliefs about the fleet."""
+        return self.fleet.membership.everything()
+
+    # The operators' interface.
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send callers here."""
+        return self.fleet.record.phase is Phase.READY
+
+    def status(self) -> dict[str, object]:
+        """Return the state of the instance."""
+        return describe(self)
+
+    def metrics(self) -> dict[str, object]:
+        """Return the counters and histograms."""
+        return self.recorder.summary()
+
+    # What the post tells.
+
+    def on_ack(self, peer: str, ack: Ack) -> None:
+        """Hear that a peer has acknowledged a call."""
+        self.fleet.on_ack(ack)
+
+    def on_delivery_failed(self, failed: DeliveryFailed) -> None:
+        """Hear that a message was not acknowledged."""
+        self.fleet.on_silence(failed.peer)
+        if isinstance(failed.message, ShardRequest | Claim):
+            self.entry.tell(failed)
+
+    def on_local(self, message: PeerMessage) -> None:
+        """Receive a message that this instance has sent to itself."""
+        self._take(message, self.settings.instance)
+
+    # What the fleet tells.
+
+    def on_fleet_change(self) -> None:
+        """Take up and let go of servers after a change in the fleet."""
+        if self.fleet.config is not None:
+            cut_off = not self.fleet.owners.sees_majority()
+            self.owner.sync(self.fleet.config, cut_off and self.is_ready())
+
+    def on_list(self, listed: InstanceList) -> None:
+        """Note who the holders of request ids are now."""
+        self.history.take_list(listed, self.clock.wall())
+
+    def on_pause(self, seconds: float) -> None:
+        """Drop what was about to be sent on old belief."""
+        self.recorder.count("pauses")
+        self.post.drop_waiting()
+        self.entry.wake_all()
+
+    def send_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
+        """Send a heartbeat with the other messages for that peer."""
+        self.post.send(peer, heartbeat)
+
+    def idle_since(self) -> float:
+        """Return when the last caller's request came, on the monotonic clock."""
+        return self._last_caller_at
+
+    def _take(self, message: PeerMessage, sender: str) -> None:
+        if isinstance(message, ShardRequest | Cancel | ServerReleased):
+            self.owner.tell(message, sender)
+        elif isinstance(message, ShardAnswer | ClaimReply):
+            self.entry.tell(message)
+        elif isinstance(message, Claim):
+            sees_majority = self.is_ready() and self.fleet.sees_fleet_majority()
+            reply = self.claims.claim(message, sees_majority, self.clock.wall())
+            self.post.send(sender, reply)
+        elif isinstance(message, ClaimResult):
+            self.claims.finish(message)
+        elif isinstance(message, Heartbeat):
+            self.fleet.on_heartbeat(message)
+
+    def _owner_of(self, server: str) -> str | None:
+        config = self.fleet.config
+        if config is None or server not in config.config.servers:
+            return None
+        return self.fleet.owner_of(server, config.config)
+
+    def _is_listed_as_leaving(self, server: str) -> bool:
+        return self.fleet.membership.list.servers.get(server) == "leaving"
+
+    def _make_client(self, declared: BackendServer) -> BackendClient:
+        return BackendClient(self._reactor, declared.address, declared.slots)
--- /dev/null
+++ b/currantwharf/node/owner_task.py
@@ -0,0 +1,228 @@
+"""The task that owns backend servers: their connections, limits and queues."""
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from twisted.internet.defer import ensureDeferred
+
+from currantwharf.adapters.backend_client import BackendClient
+from currantwharf.config import BackendServer, VersionedConfig
+from currantwharf.metrics import Recorder
+from currantwharf.node.clock import SystemClock
+from currantwharf.node.owned_server import OwnedServer
+from currantwharf.node.part_log import part_log
+from currantwharf.node.post import Post
+from currantwharf.owner import (
+    TAKEOVER_WAIT_S,
+    Abort,
+    CallFailed,
+    CallResult,
+    Dispatch,
+    GateAction,
+    Refuse,
+    ServerGate,
+    WakeAt,
+    answers_for,
+    refusal,
+)
+from currantwharf.query import Router
+from currantwharf.wire import (
+    Cancel,
+    Outcome,
+    PeerMessage,
+    Reason,
+    ServerReleased,
+    ShardRequest,
+)
+
+log = part_log("owner")
+
+ClientFactory = Callable[[BackendServer], BackendClient]
+
+
+class OwnerTask:
+    """Own the gates of this instance's backend servers and the calls to them."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: SystemClock,
+        name: str,
+        router: Router,
+        owner_of: Callable[[str], str | None],
+        post: Post,
+        make_client: ClientFactory,
+        recorder: Recorder,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._name = name
+        self._router = router
+        self._owner_of = owner_of
+        self._post = post
+        self._make_client = make_client
+        self._recorder = recorder
+        self._owned: dict[str, OwnedServer] = {}
+        self._senders: dict[tuple[str, int], str] = {}
+
+    def owned(self) -> dict[str, OwnedServer]:
+        """Return the servers that this instance holds a gate for."""
+        return self._owned
+
+    def idle(self) -> bool:
+        """Return whether no request waits or runs."""
+        return not self._senders
+
+    def tell(self, message: PeerMessage, sender: str) -> None:
+        """Take a message of another instance or of this one."""
+        self._on_message(message, sender)
+
+    def sync(self, versioned: VersionedConfig, cut_off: bool) -> None:
+        """Take up the servers that are newly owned and let go of the others.
+
+        `cut_off` halves every limit: this instance sees too few of its peers.
+        """
+        now = self._clock.now()
+        servers = versioned.config.servers
+        for server in list(self._owned):
+            if server not in servers or self._owner_of(server) != self._name:
+                self._let_go(server)
+        for server, declared in servers.items():
+            if self._owner_of(server) != self._name:
+                continue
+            owned = self._owned.get(server)
+            if owned is None or owned.released or owned.declared != declared:
+                owned = self._take_up(server, declared, now)
+            may_work = self._router.may_take_work(server, versioned.config)
+            self._perform(owned, owned.gate.set_leaving(not may_work))
+            if cut_off:
+                owned.gate.limit.halve()
+
+    @singledispatchmethod
+    def _on_message(self, message: PeerMessage, sender: str) -> None:
+        raise NotImplementedError(type(message))
+
+    @_on_message.register
+    def _(self, message: ShardRequest, sender: str) -> None:
+        owned = self._owned.get(message.server)
+        if owned is None or owned.released:
+            self._post.send(sender, refusal(message, Reason.NOT_OWNER))
+            return
+        self._senders[message.query, message.attempt] = sender
+        self._perform(owned, owned.gate.submit(message, self._clock.now()))
+
+    @_on_message.register
+    def _(self, message: Cancel, sender: str) -> None:
+        owned = self._owned.get(message.server)
+        if owned is None:
+            return
+        in_queue = owned.gate.queue_length
+        actions = owned.gate.cancel(message, self._clock.now())
+        if owned.gate.queue_length < in_queue:
+            self._senders.pop((message.query, message.attempt), None)
+        self._perform(owned, actions)
+
+    @_on_message.register
+    def _(self, message: ServerReleased, sender: str) -> None:
+        owned = self._owned.get(message.server)
+        if owned is not None:
+            now = self._clock.now()
+            limit, boot_id = message.limit, message.boot_id
+            self._perform(owned, owned.gate.take_over(limit, boot_id, now))
+
+    def _take_up(self, server: str, declared: BackendServer, now: float) -> OwnedServer:
+        old = self._owned.get(server)
+        if old is not None and old.declared.address == declared.address:
+            old.declared = declared
+            old.released = False
+            old.gate.limit.slots = declared.slots
+            old.gate.batch = declared.batch
+            return old
+        gate = ServerGate(server, declared.slots, declared.batch, now, TAKEOVER_WAIT_S)
+        owned = OwnedServer(declared, gate, self._make_client(declared))
+        self._owned[server] = owned
+        return owned
+
+    def _let_go(self, server: str) -> None:
+        owned = self._owned[server]
+        if not owned.released:
+            owned.released = True
+            self._perform(owned, owned.gate.release(Reason.NOT_OWNER))
+        self._hand_over_if_idle(owned)
+
+    def _hand_over_if_idle(self, owned: OwnedServer) -> None:
+        gate = owned.gate
+        if not owned.released or gate.in_flight:
+            return
+        if self._owned.get(gate.server) is owned:
+            del self._owned[gate.server]
+        successor = self._owner_of(gate.server)
+        if successor is not None and successor != self._name:
+            limit = gate.limit
+            released = ServerReleased(gate.server, limit.value, limit.boot_id)
+            self._post.send(successor, released)
+
+    def _perform(self, owned: OwnedServer, actions: list[GateAction]) -> None:
+        for action in actions:
+            self._do(action, owned)
+
+    @singledispatchmethod
+    def _do(self, action: GateAction, owned: OwnedServer) -> None:
+        raise NotImplementedError(type(action))
+
+    @_do.register
+    def _(self, action: Dispatch, owned: OwnedServer) -> None:
+        ensureDeferred(self._call(owned, action))
+
+    @_do.register
+    def _(self, action: Refuse, owned: OwnedServer) -> None:
+        request = action.request
+        sender = self._senders.pop((request.query, request.attempt), None)
+        if sender is not None:
+            queue = owned.gate.queue_length
+            self._post.send(sender, refusal(request, action.reason, queue))
+
+    @_do.register
+    def _(self, action: Abort, owned: OwnedServer) -> None:
+        cancels = tuple(Cancel(r.query, r.attempt, r.server) for r in action.requests)
+        ensureDeferred(owned.client.cancel(cancels))
+
+    @_do.register
+    def _(self, action: WakeAt, owned: OwnedServer) -> None:
+        now = self._clock.now()
+        if owned.timer is None or not owned.timer.active():
+            delay = max(0.0, action.at - now) + 0.0005
+            owned.timer = self._reactor.callLater(delay, self._wake, owned)
+
+    def _wake(self, owned: OwnedServer) -> None:
+        self._perform(owned, owned.gate.run(self._clock.now()))
+
+    async def _call(self, owned: OwnedServer, dispatch: Dispatch) -> None:
+        started = self._clock.now()
+        result: CallResult = await owned.client.ask(dispatch.requests)
+        now = self._clock.now()
+        if isinstance(result, CallFailed):
+            self._note_failure(owned, result)
+        actions = owned.gate.finish(dispatch.call, result, now)
+        self._recorder.count("backend_calls")
+        queue = owned.gate.queue_length
+        for answer in answers_for(dispatch.requests, result, queue):
+            sender = self._senders.pop((answer.query, answer.attempt), None)
+            if sender is not None and answer.reason is not Reason.CANCELLED:
+                self._post.send(sender, answer)
+            if answer.outcome is not Outcome.ANSWERED:
+                self._recorder.count(f"backend_{answer.reason}")
+        owned.busy_s += now - started
+        self._perform(owned, actions)
+        self._hand_over_if_idle(owned)
+
+    def _note_failure(self, owned: OwnedServer, failed: CallFailed) -> None:
+        log.warning(
+            "a call to a backend server failed",
+            extra={
+                "server": owned.gate.server,
+                "sent": failed.sent,
+                "timed_out": failed.timed_out,
+            },
+        )
--- /dev/null
+++ b/currantwharf/node/post.py
@@ -0,0 +1,150 @@
+"""The task that carries messages to other instances, many to a call."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from twisted.internet.defer import ensureDeferred
+
+from currantwharf.adapters.http_errors import was_sent
+from currantwharf.adapters.peer_client import PeerClient
+from currantwharf.node.clock import SystemClock
+from currantwharf.node.part_log import part_log
+from currantwharf.query import DeliveryFailed
+from currantwharf.wire import Ack, PeerMessage, pack
+
+CALLS_AT_ONCE = 2  # calls under way to one peer while it acknowledges
+CALLS_WHEN_SILENT = 4  # calls under way when the oldest has waited long
+SILENT_S = 0.15  # seconds without an acknowledgement that make a peer silent
+MOST_MESSAGES = 256  # messages in one call
+MOST_WAITING = 20_000  # messages that wait for one peer
+
+log = part_log("post")
+
+
+class PostListener(Protocol):
+    """Who hears what became of the messages."""
+
+    def on_ack(self, peer: str, ack: Ack) -> None:
+        """Hear that a peer has acknowledged a call."""
+
+    def on_delivery_failed(self, failed: DeliveryFailed) -> None:
+        """Hear that a message was not acknowledged."""
+
+    def on_local(self, message: PeerMessage) -> None:
+        """Receive a message that this instance has sent to itself."""
+
+
+class PeerBox:
+    """Hold the messages that wait for one peer and the calls under way to it."""
+
+    def __init__(self) -> None:
+        self.waiting: list[PeerMessage] = []
+        self.calls: dict[int, float] = {}
+        self.next_call = 0
+
+
+class Post:
+    """Own the outboxes to all peers.
+
+    Messages that come up while calls are under way go together in the next one, so
+    the number of calls grows with the number of peers and not with that of queries.
+    A call is never repeated.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: SystemClock,
+        client: PeerClient,
+        sender: str,
+        boot_id: str,
+        address_of: Callable[[str], str | None],
+        listener: PostListener,
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._client = client
+        self._sender = sender
+        self._boot_id = boot_id
+        self._address_of = address_of
+        self._listener = listener
+        self._boxes: dict[str, PeerBox] = {}
+        self._due: set[str] = set()
+        self.calls_made = 0
+        self.messages_sent = 0
+        self.bytes_sent = 0
+
+    def send(self, to: str, message: PeerMessage) -> None:
+        """Send a message; it leaves at the end of this turn of the reactor."""
+        if to == self._sender:
+            self._reactor.callLater(0, self._listener.on_local, message)
+            return
+        box = self._boxes.setdefault(to, PeerBox())
+        if len(box.waiting) >= MOST_WAITING:
+            self._reactor.callLater(0, self._fail, to, [message], False)
+            return
+        box.waiting.append(message)
+        if to not in self._due:
+            self._due.add(to)
+            self._reactor.callLater(0, self._flush, to)
+
+    def is_silent(self, peer: str) -> bool:
+        """Return whether a call to `peer` has waited long for its acknowledgement."""
+        box = self._boxes.get(peer)
+        if box is None or not box.calls:
+            return False
+        return self._clock.now() - min(box.calls.values()) > SILENT_S
+
+    def drop_waiting(self) -> None:
+        """Fail all that has not left, after a pause of this process."""
+        for peer, box in self._boxes.items():
+            waiting, box.waiting = box.waiting, []
+            self._fail(peer, waiting, sent=False)
+
+    def idle(self) -> bool:
+        """Return whether nothing waits and no call is under way."""
+        return all(not box.waiting and not box.calls for box in self._boxes.values())
+
+    def _flush(self, peer: str) -> None:
+        self._due.discard(peer)
+        box = self._boxes[peer]
+        limit = CALLS_WHEN_SILENT if self.is_silent(peer) else CALLS_AT_ONCE
+        while box.waiting and len(box.calls) < limit:
+            batch = box.waiting[:MOST_MESSAGES]
+            del box.waiting[:MOST_MESSAGES]
+            address = self._address_of(peer)
+            if address is None:
+                self._fail(peer, batch, sent=False)
+                continue
+            box.next_call += 1
+            box.calls[box.next_call] = self._clock.now()
+            ensureDeferred(self._call(peer, address, box, box.next_call, batch))
+        if box.waiting and not self.is_silent(peer):
+            self._reactor.callLater(SILENT_S, self._flush_if_waiting, peer)
+
+    def _flush_if_waiting(self, peer: str) -> None:
+        if self._boxes[peer].waiting:
+            self._flush(peer)
+
+    async def _call(
+        self, peer: str, address: str, box: PeerBox, call: int, batch: list[PeerMessage]
+    ) -> None:
+        envelope = pack(self._sender, self._boot_id, batch)
+        self.calls_made += 1
+        self.messages_sent += len(batch)
+        self.bytes_sent += len(envelope)
+        try:
+            ack = await self._client.post(address, envelope)
+        except Exception as exc:
+            del box.calls[call]
+            log.info("a call to a peer failed", extra={"peer": peer, "why": repr(exc)})
+            self._fail(peer, batch, was_sent(exc))
+        else:
+            del box.calls[call]
+            self._listener.on_ack(peer, ack)
+        if box.waiting:
+            self._flush(peer)
+
+    def _fail(self, peer: str, messages: list[PeerMessage], sent: bool) -> None:
+        for message in messages:
+            self._listener.on_delivery_failed(DeliveryFailed(peer, message, sent))
--- /dev/null
+++ b/currantwharf/node/serve.py
@@ -0,0 +1,88 @@
+"""Run one instance until it is told to stop."""
+
+import signal
+from typing import Any
+
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.error import CannotListenError
+from twisted.internet.task import deferLater
+
+from currantwharf.adapters.bounded_site import make_site
+from currantwharf.adapters.caller_body import BODY_LIMIT
+from currantwharf.adapters.caller_server import caller_resource
+from currantwharf.adapters.operator_server import operator_resource
+from currantwharf.adapters.peer_server import peer_resource
+from currantwharf.node.clock import SystemClock
+from currantwharf.node.instance import Instance
+from currantwharf.node.part_log import part_log
+from currantwharf.settings import Settings
+
+PEER_BODY_LIMIT = 4_000_000  # bytes of one envelope
+OPERATOR_BODY_LIMIT = 1_000  # bytes
+BALANCER_LAG_S = 1.5  # seconds without a caller before a stopping instance closes
+STOP_CHECK_S = 0.1  # seconds
+
+log = part_log("serve")
+
+
+def listen(instance: Instance, reactor: Any) -> list[Any]:
+    """Open the three ports of an instance; raise CannotListenError if one is taken."""
+    settings = instance.settings
+    sites = (
+        (settings.peer_port, peer_resource(instance), PEER_BODY_LIMIT),
+        (settings.operator_port, operator_resource(instance), OPERATOR_BODY_LIMIT),
+        (settings.caller_port, caller_resource(instance), BODY_LIMIT),
+    )
+    return [
+        reactor.listenTCP(port, make_site(resource, limit), interface=settings.host)
+        for port, resource, limit in sites
+    ]
+
+
+def serve(settings: Settings, reactor: Any) -> int:
+    """Run an instance in this process and return its exit code."""
+    instance = Instance(settings, reactor, SystemClock())
+    try:
+        ports = listen(instance, reactor)
+    except CannotListenError as exc:
+        log.error("a port can't be opened", extra={"why": str(exc)})
+        return 3
+    instance.start()
+
+    def begin_stop(*_: object) -> None:
+        reactor.callFromThread(lambda: ensureDeferred(_stop(instance, ports, reactor)))
+
+    # The reactor's own handlers would cut requests off.
+    reactor.callWhenRunning(signal.signal, signal.SIGTERM, begin_stop)
+    reactor.callWhenRunning(signal.signal, signal.SIGINT, begin_stop)
+    reactor.run(installSignalHandlers=False)
+    return 0
+
+
+async def _stop(instance: Instance, ports: list[Any], reactor: Any) -> None:
+    """Finish what was begun, within the bound of the settings, and end."""
+    clock = instance.clock
+    give_up_at = clock.now() + instance.settings.stop_within_s
+    stopping_since = clock.now()
+    instance.fleet.stop()
+    log.info("stopping gracefully")
+    while clock.now() < give_up_at:
+        quiet_since = max(stopping_since, instance.idle_since())
+        quiet = clock.now() - quiet_since > BALANCER_LAG_S
+        if quiet and _is_drained(instance):
+            break
+        await deferLater(reactor, STOP_CHECK_S, lambda: None)
+    for port in ports:
+        await port.stopListening()
+    instance.fleet.stopped()
+    log.info("stopped")
+    reactor.stop()
+
+
+def _is_drained(instance: Instance) -> bool:
+    return (
+        instance.entry.running == 0
+        and instance.owner.idle()
+        and not instance.owner.owned()
+        and instance.post.idle()
+    )
--- /dev/null
+++ b/currantwharf/node/status.py
@@ -0,0 +1,79 @@
+"""What `status` shows of an instance."""
+
+from typing import TYPE_CHECKING
+
+from currantwharf import __version__
+
+if TYPE_CHECKING:
+    from currantwharf.node.instance import Instance
+
+
+def describe(instance: "Instance") -> dict[str, object]:
+    """Return the state of an instance as plain data for JSON."""
+    fleet = instance.fleet
+    config = fleet.config
+    return {
+        "instance": instance.settings.instance,
+        "boot_id": instance.boot_id,
+        "version": __version__,
+        "data_centre": instance.settings.data_centre,
+        "phase": fleet.record.phase,
+        "config": {
+            "version": config.version if config else 0,
+            "index_version": config.config.index_version if config else None,
+            "in_force_since": fleet.config_at,
+            "refused": fleet.refused,
+        },
+        "platform": {
+            "calls": fleet.platform_calls,
+            "failures": fleet.platform_failures,
+            "list_revision": fleet.membership.list.revision,
+        },
+        "members": {
+            name: {"state": member.state, "ready": member.ready}
+            for name, member in fleet.membership.members.items()
+        },
+        "sees_majority": fleet.owners.sees_majority(),
+        "requests_running": instance.entry.running,
+        "claims_held": len(instance.claims),
+        "post": {
+            "calls": instance.post.calls_made,
+            "messages": instance.post.messages_sent,
+            "bytes": instance.post.bytes_sent,
+        },
+        "owned_servers": _owned(instance),
+        "classes": _classes(instance),
+    }
+
+
+def _owned(instance: "Instance") -> dict[str, object]:
+    return {
+        name: {
+            "condition": owned.gate.record.condition,
+            "limit": round(owned.gate.limit.value, 2),
+            "slots": owned.declared.slots,
+            "in_flight": len(owned.gate.in_flight),
+            "queue": owned.gate.queue_length,
+            "usual_ms": round(owned.gate.limit.usual_ms, 2),
+        }
+        for name, owned in instance.owner.owned().items()
+    }
+
+
+def _classes(instance: "Instance") -> dict[str, object]:
+    now = instance.clock.now()
+    described: dict[str, object] = {}
+    for name, controller in instance.entry.controllers().items():
+        policy = controller.policy(now)
+        answer_after = policy.answer_after_s
+        described[name] = {
+            "hedge_after_ms": round(policy.hedge_after_s * 1000, 2),
+            "answer_after_ms": answer_after and round(answer_after * 1000, 2),
+            "extra_load_spent": round(controller.budget.spent(now), 4),
+            "gives_way": _gives_way(controller.targets.prefer),
+        }
+    return described
+
+
+def _gives_way(prefer: str) -> str:
+    return "coverage" if prefer == "latency" else "latency"
--- /dev/null
+++ b/currantwharf/once/running_order.py
@@ -0,0 +1,257 @@
+"""A non-idempotent request on its way: claimed, sent once, its outcome told truly."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from functools import singledispatchmethod
+
+import msgspec
+
+from currantwharf.fleet import highest
+from currantwharf.once.holders import MAJORITY
+from currantwharf.query.actions import Finish, QueryAction, SendToHolder, SendToOwner
+from currantwharf.query.caller_request import CallerRequest
+from currantwharf.query.coverage import Coverage
+from currantwharf.query.delivery_failed import DeliveryFailed
+from currantwharf.query.pinned_snapshot import pin_snapshot
+from currantwharf.query.query_result import QueryResult
+from currantwharf.query.router import Router
+from currantwharf.wire import (
+    Claim,
+    ClaimReply,
+    ClaimResult,
+    Hit,
+    Outcome,
+    Reason,
+    ShardAnswer,
+    ShardRequest,
+)
+from currantwharf.wire.claim import no_answer
+
+MOST_SENDS = 3  # sends, each after a proof that the one before did not run
+HOP_MARGIN_MS = 8.0  # milliseconds kept back, so that an owner's refusal is heard
+
+
+class RunningOrder:
+    """Drive one non-idempotent request.
+
+    The order goes out only after a majority of the id's holders have granted it to
+    this try, and goes out again only after a proof that the send before did not run.
+    """
+
+    def __init__(
+        self,
+        query: str,
+        request: CallerRequest,
+        holders: tuple[str, ...],
+        router: Router,
+        encode: Callable[[QueryResult], bytes],
+        now: float,
+    ) -> None:
+        self.query = query
+        self.request = request
+        self.dropped_answers = 0
+        self._holders = holders
+        self._router = router
+        self._encode = encode
+        self._replies: dict[str, ClaimReply] = {}
+        self._claimed = False
+        self._finished = False
+        self._sent: ShardRequest | None = None
+        self._sends = 0
+        self._tried: set[str] = set()
+        versioned = router.current()
+        assert versioned is not None
+        snapshot = pin_snapshot(versioned, request.class_name)
+        self._snapshot = snapshot
+        self._shard = highest(request.key, snapshot.shards) or ""
+
+    @property
+    def finished(self) -> bool:
+        """Whether the result has been given."""
+        return self._finished
+
+    def start(self, now: float) -> list[QueryAction]:
+        """Ask the holders for the claim."""
+        if len(self._holders) < MAJORITY:
+            return self._finish(Outcome.NOT_RUN, Reason.CLAIM_REFUSED)
+        request = self.request
+        claim = Claim(
+            request.request_id, self.query, request.issued_at, request.fingerprint
+        )
+        return [SendToHolder(holder, claim) for holder in self._holders]
+
+    def next_wake(self, now: float) -> float:
+        """Return when `wake` is due next: at the deadline."""
+        return max(self.request.deadline, now)
+
+    def wake(self, now: float) -> list[QueryAction]:
+        """Give up at the deadline, with the outcome that is proved."""
+        if self._finished or now < self.request.deadline:
+            return []
+        if self._sent is not None:
+            return self._finish(Outcome.UNKNOWN, Reason.DEADLINE)
+        return self._refuse(Reason.DEADLINE)
+
+    @singledispatchmethod
+    def receive(
+        self, message: ClaimReply | ShardAnswer | DeliveryFailed, now: float
+    ) -> list[QueryAction]:
+        """Take a message about the claim or the send."""
+        raise NotImplementedError(type(message))
+
+    @receive.register
+    def _(self, message: ClaimReply, now: float) -> list[QueryAction]:
+        if self._finished or self._claimed or message.token != self.query:
+            return []
+        self._replies[message.holder] = message
+        return self._weigh_claim(now)
+
+    @receive.register
+    def _(self, message: ShardAnswer, now: float) -> list[QueryAction]:
+        sent = self._sent
+        if self._finished or sent is None or not _answers(message, sent):
+            self.dropped_answers += 1
+            return []
+        self._router.stats.on_end(sent.server)
+        if message.outcome is Outcome.ANSWERED:
+            return self._finish(Outcome.ANSWERED, Reason.NONE, message.hits)
+        if message.outcome is Outcome.UNKNOWN:
+            self._router.stats.on_failure(sent.server, now)
+            return self._finish(Outcome.UNKNOWN, message.reason)
+        return self._send_again(message.reason, now)
+
+    @receive.register
+    def _(self, message: DeliveryFailed, now: float) -> list[QueryAction]:
+        if self._finished:
+            return []
+        failed = message.message
+        if isinstance(failed, Claim) and not self._claimed:
+            reply = ClaimReply(
+                failed.request_id,
+                failed.token,
+                message.peer,
+                False,
+                Reason.CLAIM_REFUSED,
+            )
+            self._replies[message.peer] = reply
+            return self._weigh_claim(now)
+        if isinstance(failed, ShardRequest) and not message.sent:
+            return self._on_never_sent(failed, now)
+        # The owner may have the request; its answer can still come by the deadline.
+        return []
+
+    def _on_never_sent(self, failed: ShardRequest, now: float) -> list[QueryAction]:
+        if failed != self._sent:
+            return []
+        self._router.stats.on_end(failed.server)
+        return self._send_again(Reason.PEER_LOST, now)
+
+    def _weigh_claim(self, now: float) -> list[QueryAction]:
+        replies = self._replies.values()
+        granted = sum(1 for reply in replies if reply.granted)
+        if granted >= MAJORITY:
+            self._claimed = True
+            return self._send(now)
+        refused = [reply for reply in replies if not reply.granted]
+        if len(self._holders) - len(refused) >= MAJORITY:
+            return []
+        for reply in refused:
+            if reply.reason is Reason.ID_REUSED:
+                return self._refuse(Reason.ID_REUSED)
+        for reply in refused:
+            if reply.reason is Reason.ALREADY_CLAIMED:
+                return self._repeat_answer(refused)
+        return self._refuse(refused[-1].reason)
+
+    def _repeat_answer(self, refused: list[ClaimReply]) -> list[QueryAction]:
+        """Give the answer of the earlier run, if a holder knows it."""
+        release = self._tell_holders(ran=False)
+        for reply in refused:
+            if reply.answer != no_answer():
+                earlier = msgspec.json.decode(reply.answer, type=QueryResult)
+                self._finished = True
+                return [*release, Finish(replace(earlier, duplicate=True))]
+        return release + self._finish(Outcome.UNKNOWN, Reason.ALREADY_CLAIMED)
+
+    def _refuse(self, reason: Reason) -> list[QueryAction]:
+        """End without having sent anything.
+
+        This try is proved not to have run. For an id that the caller has sent before,
+        an earlier try may have, so the outcome of the request is unknown, unless the
+        claim was granted, which rules out every other try.
+        """
+        proved = self._claimed or not self.request.resend
+        outcome = Outcome.NOT_RUN if proved else Outcome.UNKNOWN
+        return self._tell_holders(ran=False) + self._finish(outcome, reason)
+
+    def _send(self, now: float) -> list[QueryAction]:
+        request = self.request
+        budget_ms = (request.deadline - now) * 1000 - HOP_MARGIN_MS
+        if budget_ms <= 0:
+            return self._refuse(Reason.DEADLINE)
+        servers = self._snapshot.shards.get(self._shard, ())
+        route = self._router.choose(servers, self._tried, now)
+        if route is None:
+            return self._refuse(Reason.NO_REPLICA)
+        self._sends += 1
+        self._tried.add(route.server)
+        self._router.stats.on_send(route.server)
+        self._sent = ShardRequest(
+            self.query,
+            self._sends,
+            request.class_name,
+            self._shard,
+            route.server,
+            self._snapshot.index_version,
+            budget_ms,
+            False,
+            request.fingerprint,
+            request.body,
+        )
+        return [SendToOwner(route.owner, self._sent)]
+
+    def _send_again(self, reason: Reason, now: float) -> list[QueryAction]:
+        """Send once more after a proof that the last send did not run."""
+        self._sent = None
+        if self._sends >= MOST_SENDS:
+            return self._refuse(reason)
+        return self._send(now)
+
+    def _finish(
+        self, outcome: Outcome, reason: Reason, hits: tuple[Hit, ...] = ()
+    ) -> list[QueryAction]:
+        self._finished = True
+        answered = int(outcome is Outcome.ANSWERED)
+        result = QueryResult(
+            self.request.request_id,
+            self.request.class_name,
+            self.request.caller,
+            outcome,
+            reason,
+            self._snapshot.index_version,
+            Coverage(answered, 1),
+            hits,
+            min(self._sends, 1),
+            max(self._sends - 1, 0),
+        )
+        actions: list[QueryAction] = []
+        if self._claimed and outcome is not Outcome.NOT_RUN:
+            answer = msgspec.Raw(self._encode(result)) if answered else no_answer()
+            actions = self._tell_holders(ran=True, answer=answer)
+        return [*actions, Finish(result)]
+
+    def _tell_holders(
+        self, ran: bool, answer: msgspec.Raw | None = None
+    ) -> list[QueryAction]:
+        result = ClaimResult(
+            self.request.request_id, self.query, ran, answer or no_answer()
+        )
+        return [SendToHolder(holder, result) for holder in self._holders]
+
+
+def _answers(message: ShardAnswer, sent: ShardRequest) -> bool:
+    return (
+        message.attempt == sent.attempt
+        and message.server == sent.server
+        and message.shard == sent.shard
+    )
--- /dev/null
+++ b/currantwharf/standin/__init__.py
@@ -0,0 +1,16 @@
+"""Small stand-ins for the platform and the backend servers, for demo and tests."""
+
+from currantwharf.standin.backend import Backend, BackendStats, Work
+from currantwharf.standin.backend_server import backend_resource
+from currantwharf.standin.fault import Fault
+from currantwharf.standin.platform import Platform, platform_resource
+
+__all__ = [
+    "Backend",
+    "BackendStats",
+    "Fault",
+    "Platform",
+    "Work",
+    "backend_resource",
+    "platform_resource",
+]
--- /dev/null
+++ b/currantwharf/standin/backend.py
@@ -0,0 +1,189 @@
+"""A small stand-in for a backend server.
+
+It has slots and a queue that overflows, starts cold, sheds load, drains, honours
+deadlines and cancellation, and runs each request for a random service time. A cold
+server that gets more than one request at once becomes much slower, as a real one
+falls over.
+"""
+
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from currantwharf.owner import BackendItem, ItemOutcome
+from currantwharf.standin.fault import Fault
+from currantwharf.wire import Hit
+
+QUEUE_LIMIT = 8  # requests that wait before the server sheds
+COLD_OVERLOAD_FACTOR = 10.0  # times the service time of a cold server under load
+COLD_ANSWERS = 10  # answers after which a server is warm
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """One shard request as a stand-in server sees it."""
+
+    query: str
+    attempt: int
+    shard: str
+    index_version: str
+    budget_ms: float
+    idempotent: bool
+    body: Any = None
+
+
+@dataclass(slots=True)
+class Job:
+    """Hold a request that waits or runs, and who waits for it."""
+
+    work: Work
+    deadline: float
+    done: "Deferred[BackendItem]"
+    timer: Any = None
+
+
+@dataclass(slots=True)
+class BackendStats:
+    """Count what a stand-in server has seen; `runs` counts by the request's body id."""
+
+    started: int = 0
+    shed: int = 0
+    cancelled: int = 0
+    peak: int = 0
+    cold_peak: int = 0
+    runs: dict[str, int] = field(default_factory=dict)
+
+
+class Backend:
+    """Run shard requests in slots."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        name: str,
+        slots: int,
+        service_ms: float,
+        boot_id: str,
+        seed: int,
+        cold_answers: int = COLD_ANSWERS,
+    ) -> None:
+        self.name = name
+        self.boot_id = boot_id
+        self.fault = Fault()
+        self.stats = BackendStats()
+        self.index_versions: set[str] | None = None
+        self.shards: set[str] | None = None
+        self._reactor = reactor
+        self._slots = slots
+        self._service_ms = service_ms
+        self._rng = random.Random(seed)
+        self._waiting: list[Job] = []
+        self._running: dict[tuple[str, int], Job] = {}
+        self._cold_answers = cold_answers
+
+    def turn_cold(self, boot_id: str) -> None:
+        """Become cold, as after a restart."""
+        self.boot_id = boot_id
+        self._cold_answers = COLD_ANSWERS
+
+    @property
+    def is_cold(self) -> bool:
+        """Whether the server can bear only one request at a time."""
+        return self._cold_answers > 0
+
+    def submit(self, work: Work, now: float) -> "Deferred[BackendItem]":
+        """Run a request, or refuse it; the result comes when it is done."""
+        job = Job(work, now + work.budget_ms / 1000, Deferred())
+        refused = self._refusal(work)
+        if self.fault.silent:
+            return job.done
+        if refused is not None:
+            self.stats.shed += refused is ItemOutcome.SHED
+            job.done.callback(_item(work, refused))
+        elif len(self._running) < self._slots:
+            self._start(job, now)
+        else:
+            self._waiting.append(job)
+        return job.done
+
+    def cancel(self, query: str, attempt: int, now: float) -> None:
+        """Stop working on a request."""
+        for job in self._waiting:
+            if (job.work.query, job.work.attempt) == (query, attempt):
+                self._waiting.remove(job)
+                self._end(job, ItemOutcome.CANCELLED)
+                return
+        running = self._running.get((query, attempt))
+        if running is not None:
+            running.timer.cancel()
+            self.stats.cancelled += 1
+            self._finish(running, now, ItemOutcome.CANCELLED)
+
+    def _refusal(self, work: Work) -> ItemOutcome | None:
+        if self.fault.failing:
+            return ItemOutcome.FAILED
+        if self.fault.draining:
+            return ItemOutcome.LEAVING
+        versions = self.index_versions
+        if versions is not None and work.index_version not in versions:
+            return ItemOutcome.VERSION_GONE
+        if self.shards is not None and work.shard not in self.shards:
+            return ItemOutcome.SHARD_MOVED
+        if len(self._waiting) >= QUEUE_LIMIT:
+            return ItemOutcome.SHED
+        return None
+
+    def _start(self, job: Job, now: float) -> None:
+        self._running[job.work.query, job.work.attempt] = job
+        self.stats.started += 1
+        self.stats.peak = max(self.stats.peak, len(self._running))
+        if self.is_cold:
+            self.stats.cold_peak = max(self.stats.cold_peak, len(self._running))
+        if isinstance(job.work.body, dict) and "id" in job.work.body:
+            order = str(job.work.body["id"])
+            self.stats.runs[order] = self.stats.runs.get(order, 0) + 1
+        job.timer = self._reactor.callLater(
+            self._service_s(), self._finish, job, None, ItemOutcome.ANSWERED
+        )
+
+    def _service_s(self) -> float:
+        # A lognormal body with a few long tails, as searches show.
+        factor = self._rng.lognormvariate(0.0, 0.25)
+        if self._rng.random() < 0.01:
+            factor *= 3
+        if self.is_cold and len(self._running) > 1:
+            factor *= COLD_OVERLOAD_FACTOR
+        return self._service_ms * factor * self.fault.slow / 1000
+
+    def _finish(self, job: Job, now: float | None, outcome: ItemOutcome) -> None:
+        self._running.pop((job.work.query, job.work.attempt), None)
+        if outcome is ItemOutcome.ANSWERED and self._cold_answers > 0:
+            self._cold_answers -= 1
+        self._end(job, outcome)
+        while self._waiting and len(self._running) < self._slots:
+            self._start(self._waiting.pop(0), 0.0)
+
+    def _end(self, job: Job, outcome: ItemOutcome) -> None:
+        hits = self._hits(job.work) if outcome is ItemOutcome.ANSWERED else ()
+        job.done.callback(_item(job.work, outcome, hits))
+
+    def _hits(self, work: Work) -> tuple[Hit, ...]:
+        if not work.idempotent:
+            return (Hit(f"receipt-{work.query}", 1.0, f"accepted by {self.name}"),)
+        text = work.body.get("text", "") if isinstance(work.body, dict) else ""
+        return tuple(
+            Hit(
+                f"{work.shard}/{number}",
+                round(self._rng.random(), 4),
+                f"{text} at {work.shard}",
+            )
+            for number in range(2)
+        )
+
+
+def _item(work: Work, outcome: ItemOutcome, hits: tuple[Hit, ...] = ()) -> BackendItem:
+    return BackendItem(
+        work.query, work.attempt, work.shard, work.index_version, outcome, hits
+    )
--- /dev/null
+++ b/currantwharf/wire/__init__.py
@@ -0,0 +1,41 @@
+"""The messages between instances and the vocabulary of their outcomes."""
+
+from currantwharf.wire.ack import Ack
+from currantwharf.wire.cancel import Cancel
+from currantwharf.wire.claim import Claim, ClaimReply, ClaimResult
+from currantwharf.wire.envelope import (
+    Envelope,
+    PeerMessage,
+    messages_of,
+    pack,
+    unpack,
+)
+from currantwharf.wire.heartbeat import CrashNews, Heartbeat, MemberNews
+from currantwharf.wire.hit import Hit
+from currantwharf.wire.outcome import Outcome
+from currantwharf.wire.reason import Reason
+from currantwharf.wire.server_released import ServerReleased
+from currantwharf.wire.shard_answer import ShardAnswer
+from currantwharf.wire.shard_request import ShardRequest
+
+__all__ = [
+    "Ack",
+    "Cancel",
+    "Claim",
+    "ClaimReply",
+    "ClaimResult",
+    "CrashNews",
+    "Envelope",
+    "Heartbeat",
+    "Hit",
+    "MemberNews",
+    "Outcome",
+    "PeerMessage",
+    "Reason",
+    "ServerReleased",
+    "ShardAnswer",
+    "ShardRequest",
+    "messages_of",
+    "pack",
+    "unpack",
+]
--- /dev/null
+++ b/currantwharf/wire/hit.py
@@ -0,0 +1,12 @@
+"""One hit of a search."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Hit:
+    """Hold a matching document, its score (higher is better) and a line of text."""
+
+    document: str
+    score: float
+    text: str = ""
