Carry stored answers as text, and pass the adapters in

Cause: an order ended at its deadline. Ruled out: the claim rules and the routing, which gave the right actions when driven alone.

Change: the stored answer of a claim is a JSON text. An instance gets its adapters from outside, so that tests can put fakes in their place.

Before: not run or unknown after 1000 ms. After: answered once, and the same receipt marked as a duplicate through each of the other instances.

Conclusion: typed wire fields only; raw bytes stay in required fields.

--- a/currantwharf/node/entry_task.py
+++ b/currantwharf/node/entry_task.py
@@ -10,7 +10,7 @@
 
 from currantwharf.config import VersionedConfig
 from currantwharf.metrics import Recorder
-from currantwharf.node.clock import SystemClock
+from currantwharf.node.clock import Clock
 from currantwharf.node.part_log import part_log
 from currantwharf.node.post import Post
 from currantwharf.once import RunningOrder
@@ -52,7 +52,7 @@
     def __init__(
         self,
         reactor: Any,
-        clock: SystemClock,
+        clock: Clock,
         name: str,
         router: Router,
         post: Post,
--- a/currantwharf/node/fleet_task.py
+++ b/currantwharf/node/fleet_task.py
@@ -6,8 +6,6 @@
 from twisted.internet.defer import ensureDeferred, gatherResults
 from twisted.internet.task import deferLater
 
-from currantwharf.adapters.peer_client import PeerClient
-from currantwharf.adapters.platform_client import PlatformClient
 from currantwharf.config import PublishedConfig, VersionedConfig, is_newer, parse_config
 from currantwharf.fleet import (
     InstanceList,
@@ -19,7 +17,8 @@
     is_reader,
     new_life,
 )
-from currantwharf.node.clock import SystemClock
+from currantwharf.node.clock import Clock
+from currantwharf.node.interfaces import PeerCalls, PlatformCalls
 from currantwharf.node.part_log import part_log
 from currantwharf.wire import Ack, Heartbeat, pack
 
@@ -56,12 +55,12 @@
     def __init__(
         self,
         reactor: Any,
-        clock: SystemClock,
+        clock: Clock,
         name: str,
         boot_id: str,
         data_centre: str,
-        peers: PeerClient,
-        platform: PlatformClient,
+        peers: PeerCalls,
+        platform: PlatformCalls,
         listener: FleetListener,
         rng: random.Random,
     ) -> None:
--- a/currantwharf/node/instance.py
+++ b/currantwharf/node/instance.py
@@ -1,22 +1,19 @@
 """One instance: the tasks wired together, and its three interfaces."""
 
-import os
 import random
 from typing import Any
 
 from twisted.internet.defer import Deferred
 
-from currantwharf.adapters.backend_client import BackendClient
 from currantwharf.adapters.caller_error import CallerErrorType
 from currantwharf.adapters.caller_server import encode_stored
-from currantwharf.adapters.peer_client import PeerClient
-from currantwharf.adapters.platform_client import PlatformClient
-from currantwharf.config import BackendServer, PublishedConfig, VersionedConfig
+from currantwharf.config import PublishedConfig, VersionedConfig
 from currantwharf.fleet import InstanceList, Phase
 from currantwharf.metrics import Recorder, make_sink
-from currantwharf.node.clock import SystemClock
+from currantwharf.node.clock import Clock
 from currantwharf.node.entry_task import EntryTask
 from currantwharf.node.fleet_task import FleetTask
+from currantwharf.node.interfaces import Interfaces
 from currantwharf.node.owner_task import OwnerTask
 from currantwharf.node.post import Post
 from currantwharf.node.status import describe
@@ -43,15 +40,19 @@
 class Instance:
     """Wire the tasks of one instance and pass messages between them."""
 
-    def __init__(self, settings: Settings, reactor: Any, clock: SystemClock) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        reactor: Any,
+        clock: Clock,
+        interfaces: Interfaces,
+        rng: random.Random,
+    ) -> None:
         self.settings = settings
         self.clock = clock
-        self.boot_id = os.urandom(8).hex()
-        self._reactor = reactor
-        rng = random.Random(os.urandom(16))
+        self.boot_id = f"{rng.getrandbits(64):016x}"
         name = settings.instance
-        peers = PeerClient(reactor)
-        platform = PlatformClient(reactor, settings.platform)
+        peers, platform = interfaces.peers, interfaces.platform
         self.recorder = Recorder(make_sink(settings.statsd))
         self.fleet = FleetTask(
             reactor,
@@ -93,7 +94,7 @@
             self.router,
             self._owner_of,
             self.post,
-            self._make_client,
+            interfaces.make_backend,
             self.recorder,
         )
         self._last_caller_at = clock.now()
@@ -223,6 +224,3 @@
 
     def _is_listed_as_leaving(self, server: str) -> bool:
         return self.fleet.membership.list.servers.get(server) == "leaving"
-
-    def _make_client(self, declared: BackendServer) -> BackendClient:
-        return BackendClient(self._reactor, declared.address, declared.slots)
--- /dev/null
+++ b/currantwharf/node/interfaces.py
@@ -0,0 +1,58 @@
+"""What the tasks need of the outside: peers, the platform and backend servers.
+
+An adapter for another wire format implements one of these and changes nothing else.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from currantwharf.config import BackendServer
+from currantwharf.fleet import InstanceList
+from currantwharf.owner import CallResult
+from currantwharf.wire import Ack, Cancel, MemberNews, ShardRequest
+
+
+class PeerCalls(Protocol):
+    """Calls to other instances; each raises when it brings no answer."""
+
+    async def post(self, address: str, envelope: bytes) -> Ack:
+        """Deliver an envelope and return the peer's acknowledgement."""
+
+    async def get_config(self, address: str) -> tuple[int, bytes]:
+        """Return the version and the document of a peer's configuration."""
+
+    async def get_list(self, address: str) -> InstanceList:
+        """Return the instance list that a peer holds."""
+
+    async def get_members(self, address: str) -> tuple[MemberNews, ...]:
+        """Return all that a peer believes of the fleet."""
+
+
+class PlatformCalls(Protocol):
+    """Reads of the platform's services; each raises when the platform fails."""
+
+    async def watch_config(self, after: int, wait_s: float) -> tuple[int, bytes] | None:
+        """Return a configuration newer than `after`, or None after `wait_s`."""
+
+    async def watch_list(self, after: int, wait_s: float) -> InstanceList | None:
+        """Return an instance list newer than `after`, or None after `wait_s`."""
+
+
+class BackendCalls(Protocol):
+    """Calls to one backend server; a failure is a result, not an exception."""
+
+    async def ask(self, requests: tuple[ShardRequest, ...]) -> CallResult:
+        """Send shard requests in one call and return what came of it."""
+
+    async def cancel(self, cancels: tuple[Cancel, ...]) -> None:
+        """Ask the server to stop working on requests."""
+
+
+@dataclass(frozen=True, slots=True)
+class Interfaces:
+    """Hold the adapters that an instance runs with."""
+
+    peers: PeerCalls
+    platform: PlatformCalls
+    make_backend: Callable[[BackendServer], BackendCalls]
--- a/currantwharf/node/owned_server.py
+++ b/currantwharf/node/owned_server.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from currantwharf.adapters.backend_client import BackendClient
 from currantwharf.config import BackendServer
+from currantwharf.node.interfaces import BackendCalls
 from currantwharf.owner import ServerGate
 
 
@@ -18,7 +18,7 @@
 
     declared: BackendServer
     gate: ServerGate
-    client: BackendClient
+    client: BackendCalls
     timer: Any = None
     released: bool = False
     busy_s: float = 0.0
--- a/currantwharf/node/owner_task.py
+++ b/currantwharf/node/owner_task.py
@@ -6,10 +6,10 @@
 
 from twisted.internet.defer import ensureDeferred
 
-from currantwharf.adapters.backend_client import BackendClient
 from currantwharf.config import BackendServer, VersionedConfig
 from currantwharf.metrics import Recorder
-from currantwharf.node.clock import SystemClock
+from currantwharf.node.clock import Clock
+from currantwharf.node.interfaces import BackendCalls
 from currantwharf.node.owned_server import OwnedServer
 from currantwharf.node.part_log import part_log
 from currantwharf.node.post import Post
@@ -38,8 +38,6 @@
 
 log = part_log("owner")
 
-ClientFactory = Callable[[BackendServer], BackendClient]
-
 
 class OwnerTask:
     """Own the gates of this instance's backend servers and the calls to them."""
@@ -47,12 +45,12 @@
     def __init__(
         self,
         reactor: Any,
-        clock: SystemClock,
+        clock: Clock,
         name: str,
         router: Router,
         owner_of: Callable[[str], str | None],
         post: Post,
-        make_client: ClientFactory,
+        make_client: Callable[[BackendServer], BackendCalls],
         recorder: Recorder,
     ) -> None:
         self._reactor = reactor
--- a/currantwharf/node/part_log.py
+++ b/currantwharf/node/part_log.py
@@ -51,8 +51,7 @@
 
 def _follow_twisted() -> None:
     """Send what Twisted has to warn of to the same place."""
-    observer = FilteringLogObserver(
-        STDLibLogObserver(f"{ROOT}.twisted"),
-        [LogLevelFilterPredicate(defaultLogLevel=LogLevel.warn)],
-    )
+    predicate: Any = LogLevelFilterPredicate(defaultLogLevel=LogLevel.warn)
+    to_logging: Any = STDLibLogObserver(f"{ROOT}.twisted")
+    observer: Any = FilteringLogObserver(to_logging, [predicate])
     globalLogPublisher.addObserver(observer)
--- a/currantwharf/node/post.py
+++ b/currantwharf/node/post.py
@@ -6,8 +6,8 @@
 from twisted.internet.defer import ensureDeferred
 
 from currantwharf.adapters.http_errors import was_sent
-from currantwharf.adapters.peer_client import PeerClient
-from currantwharf.node.clock import SystemClock
+from currantwharf.node.clock import Clock
+from currantwharf.node.interfaces import PeerCalls
 from currantwharf.node.part_log import part_log
 from currantwharf.query import DeliveryFailed
 from currantwharf.wire import Ack, PeerMessage, pack
@@ -54,8 +54,8 @@
     def __init__(
         self,
         reactor: Any,
-        clock: SystemClock,
-        client: PeerClient,
+        clock: Clock,
+        client: PeerCalls,
         sender: str,
         boot_id: str,
         address_of: Callable[[str], str | None],
--- a/currantwharf/node/serve.py
+++ b/currantwharf/node/serve.py
@@ -1,5 +1,7 @@
 """Run one instance until it is told to stop."""
 
+import os
+import random
 import signal
 from typing import Any
 
@@ -7,13 +9,17 @@
 from twisted.internet.error import CannotListenError
 from twisted.internet.task import deferLater
 
+from currantwharf.adapters.backend_client import BackendClient
 from currantwharf.adapters.bounded_site import make_site
 from currantwharf.adapters.caller_body import BODY_LIMIT
 from currantwharf.adapters.caller_server import caller_resource
 from currantwharf.adapters.operator_server import operator_resource
+from currantwharf.adapters.peer_client import PeerClient
 from currantwharf.adapters.peer_server import peer_resource
+from currantwharf.adapters.platform_client import PlatformClient
 from currantwharf.node.clock import SystemClock
 from currantwharf.node.instance import Instance
+from currantwharf.node.interfaces import Interfaces
 from currantwharf.node.part_log import part_log
 from currantwharf.settings import Settings
 
@@ -41,7 +47,13 @@
 
 def serve(settings: Settings, reactor: Any) -> int:
     """Run an instance in this process and return its exit code."""
-    instance = Instance(settings, reactor, SystemClock())
+    interfaces = Interfaces(
+        PeerClient(reactor),
+        PlatformClient(reactor, settings.platform),
+        lambda declared: BackendClient(reactor, declared.address, declared.slots),
+    )
+    rng = random.Random(os.urandom(16))
+    instance = Instance(settings, reactor, SystemClock(), interfaces, rng)
     try:
         ports = listen(instance, reactor)
     except CannotListenError as exc:
--- a/currantwharf/once/claim_table.py
+++ b/currantwharf/once/claim_table.py
@@ -3,11 +3,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-import msgspec
-
 from currantwharf.once.holders import RETENTION_S, SETTLE_S, HolderHistory
 from currantwharf.wire import Claim, ClaimReply, ClaimResult, Reason
-from currantwharf.wire.claim import no_answer
 
 CLOCK_SKEW_S = 1.0  # seconds between the clocks of a caller and an instance
 MOST_CLAIMS = 50_000  # claims
@@ -20,7 +17,7 @@
     token: str
     digest: str
     granted_at: float
-    answer: msgspec.Raw
+    answer: str = ""
 
 
 class ClaimTable:
@@ -50,7 +47,7 @@
             return self._refuse(claim, Reason.CLAIM_REFUSED)
         if len(self._claims) >= MOST_CLAIMS:
             return self._refuse(claim, Reason.OVERLOADED)
-        held = HeldClaim(claim.token, claim.digest, wall, no_answer())
+        held = HeldClaim(claim.token, claim.digest, wall)
         self._claims[claim.request_id] = held
         return ClaimReply(claim.request_id, claim.token, self.instance, True)
 
--- a/currantwharf/once/running_order.py
+++ b/currantwharf/once/running_order.py
@@ -25,7 +25,6 @@
     ShardAnswer,
     ShardRequest,
 )
-from currantwharf.wire.claim import no_answer
 
 MOST_SENDS = 3  # sends, each after a proof that the one before did not run
 HOP_MARGIN_MS = 8.0  # milliseconds kept back, so that an owner's refusal is heard
@@ -167,7 +166,7 @@
         """Give the answer of the earlier run, if a holder knows it."""
         release = self._tell_holders(ran=False)
         for reply in refused:
-            if reply.answer != no_answer():
+            if reply.answer:
                 earlier = msgspec.json.decode(reply.answer, type=QueryResult)
                 self._finished = True
                 return [*release, Finish(replace(earlier, duplicate=True))]
@@ -236,16 +235,12 @@
         )
         actions: list[QueryAction] = []
         if self._claimed and outcome is not Outcome.NOT_RUN:
-            answer = msgspec.Raw(self._encode(result)) if answered else no_answer()
+            answer = self._encode(result).decode() if answered else ""
             actions = self._tell_holders(ran=True, answer=answer)
         return [*actions, Finish(result)]
 
-    def _tell_holders(
-        self, ran: bool, answer: msgspec.Raw | None = None
-    ) -> list[QueryAction]:
-        result = ClaimResult(
-            self.request.request_id, self.query, ran, answer or no_answer()
-        )
+    def _tell_holders(self, ran: bool, answer: str = "") -> list[QueryAction]:
+        result = ClaimResult(self.request.request_id, self.query, ran, answer)
         return [SendToHolder(holder, result) for holder in self._holders]
 
 
--- a/currantwharf/wire/claim.py
+++ b/currantwharf/wire/claim.py
@@ -1,17 +1,10 @@
 """The messages by which a non-idempotent request is claimed."""
 
-from dataclasses import dataclass, field
-
-import msgspec
+from dataclasses import dataclass
 
 from currantwharf.wire.reason import Reason
 
 
-def no_answer() -> msgspec.Raw:
-    """Return the empty JSON object that stands for an answer that is not there."""
-    return msgspec.Raw(b"{}")
-
-
 @dataclass(frozen=True, slots=True)
 class Claim:
     """Ask a holder for the right to run the request `request_id`.
@@ -28,14 +21,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimReply:
-    """Grant or refuse a claim; a refusal may carry the answer of the earlier run."""
+    """Grant or refuse a claim; a refusal may carry the earlier run's answer.
+
+    `answer` is a JSON text, empty when there is none.
+    """
 
     request_id: str
     token: str
     holder: str
     granted: bool
     reason: Reason = Reason.NONE
-    answer: msgspec.Raw = field(default_factory=no_answer)
+    answer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,4 +45,4 @@
     request_id: str
     token: str
     ran: bool
-    answer: msgspec.Raw = field(default_factory=no_answer)
+    answer: str = ""
