--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+.PHONY: install demo test binary
+
+VENV := .venv
+PYTHON ?= python3.11
+RUN := $(VENV)/bin
+
+install: $(VENV)/installed
+
+$(VENV)/installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(RUN)/pip install -q -r requirements.lock
+	$(RUN)/pip install -q --no-deps -e .
+	touch $@
+
+demo: install
+	sh examples/run_site.sh $(RUN) kuo-hsing-small \
+	  $(RUN)/currantwharf demo examples/kuo-hsing-small/demo.yaml
+
+test: install
+	bash .ci/check $(RUN)
+
+binary: install
+	$(RUN)/python tools/build_binary.py dist/currantwharf
--- /dev/null
+++ b/currantwharf/bench/__init__.py
@@ -0,0 +1,19 @@
+"""The measuring tool: open-loop load by an experiment file, tables and JSON."""
+
+from currantwharf.bench.experiment import ClassLoad, Event, Experiment, Phase
+from currantwharf.bench.load import LoadGenerator, PhaseResult
+from currantwharf.bench.load_experiment import load_experiment
+from currantwharf.bench.report import compare, summarize, table
+
+__all__ = [
+    "ClassLoad",
+    "Event",
+    "Experiment",
+    "LoadGenerator",
+    "Phase",
+    "PhaseResult",
+    "compare",
+    "load_experiment",
+    "summarize",
+    "table",
+]
--- /dev/null
+++ b/currantwharf/bench/report.py
@@ -0,0 +1,64 @@
+"""Show the result of an experiment as a table and as JSON."""
+
+from typing import Any
+
+from currantwharf.bench.load import PhaseResult
+
+HEADER = (
+    f"{'phase':<22}{'class':<16}{'count':>6}{'p50':>8}{'p90':>8}{'p99':>8}"
+    f"{'p99.9':>8}{'coverage':>10}{'whole':>8}  outcomes"
+)
+
+
+def summarize(results: list[PhaseResult]) -> list[dict[str, Any]]:
+    """Return the results as plain data, latencies in milliseconds."""
+    return [
+        {
+            "phase": result.name,
+            "seconds": result.seconds,
+            "classes": {
+                name: histograms.summary()
+                for name, histograms in result.classes.items()
+            },
+        }
+        for result in results
+    ]
+
+
+def table(summary: list[dict[str, Any]]) -> str:
+    """Return a table with a line for each phase and class; latencies are in ms."""
+    lines = [HEADER]
+    for phase in summary:
+        for name, found in sorted(phase["classes"].items()):
+            lines.append(_line(phase["phase"], name, found))
+    return "\n".join(lines)
+
+
+def compare(before: list[dict[str, Any]], after: list[dict[str, Any]]) -> str:
+    """Return a table of the ratios of two runs' latencies, phase by phase."""
+    lines = [f"{'phase':<22}{'class':<16}{'p50':>16}{'p99':>16}{'p99.9':>16}"]
+    for old, new in zip(before, after, strict=True):
+        for name in sorted(old["classes"].keys() & new["classes"].keys()):
+            cells = "".join(
+                _ratio(old["classes"][name], new["classes"][name], quantile)
+                for quantile in ("p50", "p99", "p99.9")
+            )
+            lines.append(f"{old['phase']:<22}{name:<16}{cells}")
+    return "\n".join(lines)
+
+
+def _line(phase: str, name: str, found: dict[str, Any]) -> str:
+    latency = found["latency_ms"]
+    outcomes = " ".join(f"{k}={v}" for k, v in sorted(found["outcomes"].items()))
+    return (
+        f"{phase:<22}{name:<16}{found['count']:>6}"
+        f"{latency['p50']:>8.1f}{latency['p90']:>8.1f}{latency['p99']:>8.1f}"
+        f"{latency['p99.9']:>8.1f}{found['coverage_mean'] or 0:>10.4f}"
+        f"{found['whole_share'] or 0:>8.4f}  {outcomes}"
+    )
+
+
+def _ratio(old: dict[str, Any], new: dict[str, Any], quantile: str) -> str:
+    was, now = old["latency_ms"][quantile], new["latency_ms"][quantile]
+    ratio = now / was if was else 0.0
+    return f"{was:>6.1f}{now:>6.1f}{ratio:>4.2f}"
--- a/currantwharf/cli/__init__.py
+++ b/currantwharf/cli/__init__.py
@@ -3,8 +3,14 @@
 import click
 
 from currantwharf import __version__
+from currantwharf.cli.bench_command import bench
+from currantwharf.cli.check_commands import check_settings, check_targets
+from currantwharf.cli.completion_command import completion
+from currantwharf.cli.demo_command import demo
+from currantwharf.cli.query_command import query
 from currantwharf.cli.serve_command import serve
 from currantwharf.cli.standin_command import standin
+from currantwharf.cli.status_command import status
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -13,5 +19,15 @@
     """A query tier over many shards that meets a target for each class of work."""
 
 
-main.add_command(serve)
-main.add_command(standin)
+for command in (
+    bench,
+    check_settings,
+    check_targets,
+    completion,
+    demo,
+    query,
+    serve,
+    standin,
+    status,
+):
+    main.add_command(command)
--- /dev/null
+++ b/currantwharf/cli/bench_command.py
@@ -0,0 +1,58 @@
+"""The command `bench`."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+from twisted.internet.defer import ensureDeferred
+
+from currantwharf.cli.exit_code import ExitCode
+
+
+@click.command()
+@click.argument("experiment", type=click.Path(path_type=Path))
+@click.option(
+    "--output", type=click.Path(path_type=Path), help="Write the result as JSON."
+)
+@click.option(
+    "--against",
+    type=click.Path(path_type=Path, exists=True),
+    help="Compare with the JSON of an earlier run.",
+)
+def bench(experiment: Path, output: Path | None, against: Path | None) -> None:
+    """Offer the load of EXPERIMENT to running instances and print what came back."""
+    from currantwharf.bench import compare, load_experiment, table
+
+    loaded = load_experiment(experiment)
+    if loaded.is_err():
+        click.echo(str(loaded.unwrap_err()), err=True)
+        sys.exit(ExitCode.SETTINGS)
+    summary = run_experiment(loaded.unwrap())
+    click.echo(table(summary))
+    if output is not None:
+        output.write_text(json.dumps(summary, indent=1), encoding="utf-8")
+    if against is not None:
+        earlier = json.loads(against.read_text(encoding="utf-8"))
+        click.echo(compare(earlier, summary))
+
+
+def run_experiment(experiment: Any) -> list[dict[str, Any]]:
+    """Run an experiment in this process and return its summary."""
+    from twisted.internet import reactor as installed
+
+    from currantwharf.bench import LoadGenerator, summarize
+
+    reactor: Any = installed
+    summary: list[dict[str, Any]] = []
+
+    async def run() -> None:
+        try:
+            summary.extend(summarize(await LoadGenerator(reactor, experiment).run()))
+        finally:
+            reactor.stop()
+
+    reactor.callWhenRunning(lambda: ensureDeferred(run()))
+    reactor.run()
+    return summary
--- /dev/null
+++ b/currantwharf/cli/demo_command.py
@@ -0,0 +1,70 @@
+"""The command `demo`: real requests and faults against a running demo site."""
+
+import sys
+import time
+from pathlib import Path
+
+import click
+
+from currantwharf.cli.bench_command import run_experiment
+from currantwharf.cli.exit_code import ExitCode
+from currantwharf.cli.http_call import call
+from currantwharf.cli.query_command import describe
+
+WAIT_S = 30  # seconds that instances may take to become ready
+SETTLE_S = 6  # seconds until holders of request ids grant claims
+POLL_S = 0.5  # seconds
+
+SAMPLES = (
+    ("grain-lookup", "longan board 40 cm"),
+    ("warranty-claim", "split acacia board"),
+    ("block-order", "camphor block"),
+)
+
+
+@click.command()
+@click.argument("experiment", type=click.Path(path_type=Path, exists=True))
+def demo(experiment: Path) -> None:
+    """Ask a running demo site, break it under load, and show what callers got."""
+    from currantwharf.bench import load_experiment, table
+
+    loaded = load_experiment(experiment)
+    if loaded.is_err():
+        click.echo(str(loaded.unwrap_err()), err=True)
+        sys.exit(ExitCode.SETTINGS)
+    plan = loaded.unwrap()
+    for address in plan.instances:
+        _wait_until_ready(address)
+    time.sleep(SETTLE_S)
+    for class_name, text in SAMPLES:
+        _show_sample(plan.instances[0], class_name, text)
+    click.echo("\nNow under load. Latencies in ms, from the intended send time:\n")
+    summary = run_experiment(plan)
+    click.echo(table(summary))
+
+
+def _wait_until_ready(address: str) -> None:
+    for _ in range(int(WAIT_S / POLL_S)):
+        answer = call(address, "/ready")
+        if answer.is_ok() and answer.unwrap().get("ready"):
+            return
+        time.sleep(POLL_S)
+    click.echo(f"{address} did not become ready in {WAIT_S} s", err=True)
+    sys.exit(ExitCode.CONNECTION)
+
+
+def _show_sample(address: str, class_name: str, text: str) -> None:
+    body = {
+        "id": f"demo-{class_name}-{time.time_ns()}",
+        "class": class_name,
+        "caller": "demo",
+        "deadline_ms": 1000,
+        "issued_at": time.time_ns() / 1e9,
+        "body": {"text": text},
+    }
+    click.echo(f"\n{class_name}: {text}")
+    answer = call(address, "/v1/requests", body)
+    if answer.is_err():
+        click.echo(str(answer.unwrap_err()), err=True)
+        sys.exit(ExitCode.CONNECTION)
+    click.echo(describe(answer.unwrap()))
--- a/currantwharf/cli/standin_command.py
+++ b/currantwharf/cli/standin_command.py
@@ -14,11 +14,13 @@
     """Run the stand-in platform and backend servers of a site on loopback."""
     from twisted.internet import reactor as installed
 
-    from currantwharf.standin.run_site import run_site
+    from currantwharf.standin.run_site import listen_at, run_site
+    from currantwharf.standin.site_control import control_resource
 
     reactor: Any = installed
     plan = PLANS[site]
-    run_site(
+    running = run_site(
         config_of(plan), list_of(plan), plan.platform, plan.service_ms, encode, reactor
     )
+    listen_at(reactor, plan.control, control_resource(running))
     reactor.run()
--- a/currantwharf/demo/site_plan.py
+++ b/currantwharf/demo/site_plan.py
@@ -17,6 +17,7 @@
 
 HOST = "127.0.0.1"
 PLATFORM_OFFSET = 0  # of the first port
+CONTROL_OFFSET = 1
 BACKEND_OFFSET = 400
 INSTANCE_OFFSET = 10
 PORTS_PER_INSTANCE = 3
@@ -45,6 +46,11 @@
         """The address of the platform."""
         return f"{HOST}:{self.first_port + PLATFORM_OFFSET}"
 
+    @property
+    def control(self) -> str:
+        """The address at which a demo or a measurement plays the operator."""
+        return f"{HOST}:{self.first_port + CONTROL_OFFSET}"
+
 
 def config_of(plan: SitePlan) -> PublishedConfig:
     """Return the configuration that the operator of the site publishes."""
--- a/currantwharf/fleet/member.py
+++ b/currantwharf/fleet/member.py
@@ -5,11 +5,16 @@
 
 
 class MemberState(StrEnum):
-    """The states of a member as another process sees it."""
+    """The states of a member as another process sees it.
+
+    A `DEAD` member has not answered; it may be cut off and at work. Of a `GONE` one
+    the connection was refused: its host lives and no process listens there.
+    """
 
     ALIVE = "alive"
     SUSPECTED = "suspected"
     DEAD = "dead"
+    GONE = "gone"
 
 
 @dataclass(frozen=True, slots=True)
--- a/currantwharf/fleet/membership.py
+++ b/currantwharf/fleet/membership.py
@@ -78,11 +78,27 @@
     def suspect(self, name: str, now: float) -> None:
         """Note that a probe of `name` has failed."""
         known = self.members.get(name)
-        if known is None or known.state is not MemberState.ALIVE:
+        if known is None or known.state not in _PRESUMED_ALIVE:
             return
         suspected = replace(known, state=MemberState.SUSPECTED, changed_at=now)
         self._replace(name, known, suspected)
 
+    def note_refused(self, name: str, now: float) -> None:
+        """Note that nothing listens at the address of `name`."""
+        known = self.members.get(name)
+        if name not in self.list.instances:
+            return
+        if known is None:
+            gone = Member("", 0, MemberState.GONE, False, False, now)
+        else:
+            gone = replace(known, state=MemberState.GONE, changed_at=now)
+        self._replace(name, known, gone)
+
+    def is_gone(self, name: str) -> bool:
+        """Return whether no process runs at the address of `name`."""
+        member = self.members.get(name)
+        return member is not None and member.state is MemberState.GONE
+
     def take_news(self, news: tuple[MemberNews, ...], now: float) -> None:
         """Take rumours in; a rumour of this process itself is refuted."""
         for rumour in news:
@@ -127,7 +143,7 @@
             listed is not None
             and listed.state == "live"
             and member is not None
-            and member.state is not MemberState.DEAD
+            and member.state in (MemberState.ALIVE, MemberState.SUSPECTED)
             and member.ready
             and not member.stopping
         )
@@ -145,7 +161,7 @@
             return True
         if known.boot_id != rumour.boot_id:
             # Another boot counts only when nobody here has heard the known one.
-            return known.state is MemberState.DEAD and rumour.state == "alive"
+            return known.state in _LOST and rumour.state == MemberState.ALIVE
         if rumour.incarnation != known.incarnation:
             return rumour.incarnation > known.incarnation
         if _SEVERITY[rumour.state] != _SEVERITY[known.state]:
@@ -167,7 +183,10 @@
             del self._news[name]
 
 
-_SEVERITY: dict[str, int] = {"alive": 0, "suspected": 1, "dead": 2}
+# A silent address may be one at which a process has started behind a partition.
+_PRESUMED_ALIVE = (MemberState.ALIVE, MemberState.GONE)
+_LOST = (MemberState.DEAD, MemberState.GONE)
+_SEVERITY: dict[str, int] = {"alive": 0, "suspected": 1, "dead": 2, "gone": 3}
 
 
 def _same_standing(one: Member, other: Member) -> bool:
--- a/currantwharf/fleet/owners.py
+++ b/currantwharf/fleet/owners.py
@@ -45,9 +45,10 @@
     def candidates(self, data_centre: str, config: PublishedConfig) -> list[str]:
         """Return the instances that may own servers of `data_centre`.
 
-        Where the platform lists no instance in the data centre, those of its region
-        stand in, and after them all others. Instances that are listed there but dead
-        are not stood in for from outside, since a partition looks the same.
+        Where no instance is listed in the data centre, or nothing listens at any of
+        them, those of its region stand in, and after them all others. Instances that
+        are merely silent are not stood in for from outside, since a partition looks
+        the same.
         """
         self._forget_if_changed()
         if data_centre not in self._candidates:
@@ -90,7 +91,9 @@
         return [
             name
             for name, entry in listed.items()
-            if entry.data_centre in centres and entry.state == "live"
+            if entry.data_centre in centres
+            and entry.state == "live"
+            and not self._membership.is_gone(name)
         ]
 
     def _forget_if_changed(self) -> None:
--- a/currantwharf/node/fleet_task.py
+++ b/currantwharf/node/fleet_task.py
@@ -4,6 +4,7 @@
 from typing import Any, Protocol
 
 from twisted.internet.defer import ensureDeferred, gatherResults
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.task import deferLater
 
 from currantwharf.config import PublishedConfig, VersionedConfig, is_newer, parse_config
@@ -117,10 +118,11 @@
         return listed.address if listed is not None else None
 
     def sees_fleet_majority(self) -> bool:
-        """Return whether this instance sees more than half of the listed ones."""
-        listed = self.membership.list.instances
-        seen = sum(1 for name in listed if self.membership.usable(name))
-        return 2 * (seen + 1) > len(listed)
+        """Return whether this instance sees more than half of those that may run."""
+        membership = self.membership
+        peers = [name for name in membership.peers() if not membership.is_gone(name)]
+        seen = sum(1 for name in peers if membership.usable(name))
+        return 2 * (seen + 1) > len(peers) + 1
 
     def on_ack(self, ack: Ack) -> None:
         """Hear an acknowledgement."""
@@ -132,9 +134,12 @@
         self.membership.take_news(heartbeat.news, self._clock.now())
         self._note_changes()
 
-    def on_silence(self, peer: str) -> None:
-        """Hear that a call to a peer failed."""
-        self.membership.suspect(peer, self._clock.now())
+    def on_call_failed(self, peer: str, refused: bool) -> None:
+        """Hear that a call to a peer failed, and whether it refused to connect."""
+        if refused:
+            self.membership.note_refused(peer, self._clock.now())
+        else:
+            self.membership.suspect(peer, self._clock.now())
         self._note_changes()
 
     def observe_time(self) -> None:
@@ -245,7 +250,9 @@
             self.membership.hear(ack, self._clock.now())
             news = await self._peers.get_members(address)
             self.membership.take_news(news, self._clock.now())
-        except Exception:
+        except Exception as exc:
+            refused = isinstance(exc, ConnectionRefusedError)
+            self.on_call_failed(peer, refused)
             return False
         if is_newer(ack.config_version, self.config):
             await self._fetch_config(peer)
--- a/currantwharf/node/instance.py
+++ b/currantwharf/node/instance.py
@@ -166,9 +166,12 @@
         """Hear that a peer has acknowledged a call."""
         self.fleet.on_ack(ack)
 
+    def on_call_failed(self, peer: str, refused: bool) -> None:
+        """Hear that a call to a peer failed, and whether it refused to connect."""
+        self.fleet.on_call_failed(peer, refused)
+
     def on_delivery_failed(self, failed: DeliveryFailed) -> None:
         """Hear that a message was not acknowledged."""
-        self.fleet.on_silence(failed.peer)
         if isinstance(failed.message, ShardRequest | Claim):
             self.entry.tell(failed)
 
--- a/currantwharf/node/post.py
+++ b/currantwharf/node/post.py
@@ -4,6 +4,7 @@
 from typing import Any, Protocol
 
 from twisted.internet.defer import ensureDeferred
+from twisted.internet.error import ConnectionRefusedError
 
 from currantwharf.adapters.http_errors import was_sent
 from currantwharf.node.clock import Clock
@@ -27,6 +28,9 @@
     def on_ack(self, peer: str, ack: Ack) -> None:
         """Hear that a peer has acknowledged a call."""
 
+    def on_call_failed(self, peer: str, refused: bool) -> None:
+        """Hear that a call to a peer failed, and whether it refused to connect."""
+
     def on_delivery_failed(self, failed: DeliveryFailed) -> None:
         """Hear that a message was not acknowledged."""
 
@@ -138,6 +142,8 @@
         except Exception as exc:
             del box.calls[call]
             log.info("a call to a peer failed", extra={"peer": peer, "why": repr(exc)})
+            refused = isinstance(exc, ConnectionRefusedError)
+            self._listener.on_call_failed(peer, refused)
             self._fail(peer, batch, was_sent(exc))
         else:
             del box.calls[call]
--- a/currantwharf/owner/limit.py
+++ b/currantwharf/owner/limit.py
@@ -4,11 +4,14 @@
 
 COLD_LIMIT = 1.0  # requests in flight at a server that may be cold
 LEAST_LIMIT = 0.25  # below 1 the limit is the share of time that one request may run
-GROWTH_PER_ANSWER = 0.5  # added to the limit by one good answer at full use
+GROWTH = 1.0  # added to the limit after settled windows at full use
 SHRINK_ON_SHED = 0.5  # factor
 SLOW_FACTOR = 3.0  # times the usual service time
-SLOW_SHARE_TO_BE_COLD = 2  # slow answers in a row that make a server cold
+SLOW_ANSWERS_TO_BE_COLD = 2  # slow answers in a row that make a server cold
 BASELINE_WEIGHT = 0.1  # of a new answer in the usual service time
+WINDOW = 8  # answers whose mean service time is compared with the window before
+SETTLED_SHARE = 0.93  # of the mean before; below it the server still warms up
+SETTLED_WINDOWS = 2  # settled windows in a row before the limit grows
 
 
 @dataclass(slots=True)
@@ -16,11 +19,13 @@
     """Grow by good answers, shrink on shedding, start again when the server is cold.
 
     The rule is additive increase and multiplicative decrease (Chiu and Jain, 1989),
-    with the server's published slots as its ceiling. A change of boot id or a run of
-    slow answers tells of a cold server whatever its health endpoint says.
+    with the server's published slots as its ceiling. A server that warms up answers
+    faster and faster, so the limit grows only once the mean service time of a window
+    of answers has stopped falling. A change of boot id or a run of slow answers
+    tells of a cold server, whatever its health endpoint says.
 
     >>> limit = ServerLimit(slots=2)
-    >>> for _ in range(4):
+    >>> for _ in range(32):
     ...     limit.on_good_answer(10.0, "boot-1", at_full_use=True)
     >>> limit.value
     2.0
@@ -33,7 +38,11 @@
     value: float = COLD_LIMIT
     boot_id: str = ""
     usual_ms: float = 0.0
-    slow_in_a_row: int = 0
+    _slow_in_a_row: int = 0
+    _window_sum: float = 0.0
+    _window_count: int = 0
+    _last_mean: float = 0.0
+    _settled: int = 0
 
     def on_good_answer(
         self, service_ms: float, boot_id: str, at_full_use: bool
@@ -41,15 +50,13 @@
         """Note an answer that took `service_ms` milliseconds at the server."""
         if boot_id != self.boot_id:
             self._begin_boot(boot_id)
-            self._learn(service_ms)
-            return
-        if self.usual_ms and service_ms > SLOW_FACTOR * self.usual_ms:
+        elif self.usual_ms and service_ms > SLOW_FACTOR * self.usual_ms:
             self._on_slow_answer(service_ms)
             return
-        self.slow_in_a_row = 0
+        self._slow_in_a_row = 0
         self._learn(service_ms)
-        if at_full_use:
-            self.value = min(float(self.slots), self.value + GROWTH_PER_ANSWER)
+        if self._is_settled_after(service_ms) and at_full_use:
+            self.value = min(float(self.slots), self.value + GROWTH)
 
     def on_shed(self) -> None:
         """Halve the limit: the server refused work."""
@@ -72,16 +79,35 @@
         self.boot_id = boot_id
         self.value = min(self.value, COLD_LIMIT)
         self.usual_ms = 0.0
-        self.slow_in_a_row = 0
+        self._slow_in_a_row = 0
+        self._last_mean = 0.0
+        self._begin_window()
+        self._settled = 0
 
     def _on_slow_answer(self, service_ms: float) -> None:
-        self.slow_in_a_row += 1
-        if self.slow_in_a_row >= SLOW_SHARE_TO_BE_COLD:
-            self.value = min(self.value, COLD_LIMIT)
+        self._slow_in_a_row += 1
+        if self._slow_in_a_row >= SLOW_ANSWERS_TO_BE_COLD:
             # The slower time becomes usual, so that a server that stays slow can
             # still grow back to its slots.
+            self._begin_boot(self.boot_id)
             self.usual_ms = service_ms
-            self.slow_in_a_row = 0
+
+    def _is_settled_after(self, service_ms: float) -> bool:
+        """Add an answer to the window; return whether the limit may grow now."""
+        self._window_sum += service_ms
+        self._window_count += 1
+        if self._window_count < WINDOW:
+            return False
+        mean = self._window_sum / self._window_count
+        settled = 0 < self._last_mean * SETTLED_SHARE <= mean
+        self._settled = self._settled + 1 if settled else 0
+        self._last_mean = mean
+        self._begin_window()
+        return self._settled >= SETTLED_WINDOWS
+
+    def _begin_window(self) -> None:
+        self._window_sum = 0.0
+        self._window_count = 0
 
     def _learn(self, service_ms: float) -> None:
         if not self.usual_ms:
--- a/currantwharf/owner/server_gate.py
+++ b/currantwharf/owner/server_gate.py
@@ -25,6 +25,8 @@
 from currantwharf.wire import Cancel, Reason, ShardRequest
 
 QUEUE_LIMIT = 512  # requests
+FRESH_S = 0.25  # seconds; no server restarts in less without cutting a connection
+FRESH_ANSWERS = 3.0  # times the usual service time
 TAKEOVER_WAIT_S = 0.3  # seconds a new owner waits for the former one to let go
 
 
@@ -67,6 +69,7 @@
         self._calls = 0
         self._closed_until = now + wait_s
         self._next_start = now
+        self._answered_at = float("-inf")
 
     @property
     def queue_length(self) -> int:
@@ -109,6 +112,7 @@
 
     def _on_answer(self, answer: BackendAnswer, now: float) -> list[GateAction]:
         self._watch.answered()
+        self._answered_at = now
         outcomes = {item.outcome for item in answer.items}
         if ItemOutcome.SHED in outcomes:
             self.limit.on_shed()
@@ -166,7 +170,7 @@
         self, now: float, actions: list[GateAction]
     ) -> tuple[ShardRequest, ...]:
         """Pop the requests of one call; a non-idempotent request travels alone."""
-        size = min(self.batch, max(1, self.queue_length // max(1, self._free())))
+        size = min(self.batch, max(1, self.queue_length // max(1, self._free(now))))
         taken: list[ShardRequest] = []
         while self._queue and len(taken) < size:
             queued = self._queue[0]
@@ -193,10 +197,21 @@
             return False
         if self.record.condition is Condition.LOST:
             return not self.in_flight
-        return len(self.in_flight) < max(1, int(self.limit.value))
+        return self._free(now) > 0
 
-    def _free(self) -> int:
-        return max(1, int(self.limit.value)) - len(self.in_flight)
+    def _free(self, now: float) -> int:
+        return self._allowed(now) - len(self.in_flight)
+
+    def _allowed(self, now: float) -> int:
+        """Return how many calls may be in flight.
+
+        A server that has not answered of late may have restarted unseen, so it gets
+        one request until it has answered under the same boot id.
+        """
+        fresh_s = max(FRESH_S, FRESH_ANSWERS * self.limit.usual_ms / 1000)
+        if now - self._answered_at > fresh_s:
+            return 1
+        return max(1, int(self.limit.value))
 
     def _pace(self, now: float) -> None:
         """Below a limit of 1, leave the server idle between two requests."""
--- a/currantwharf/standin/backend.py
+++ b/currantwharf/standin/backend.py
@@ -2,8 +2,8 @@
 
 It has slots and a queue that overflows, starts cold, sheds load, drains, honours
 deadlines and cancellation, and runs each request for a random service time. A cold
-server that gets more than one request at once becomes much slower, as a real one
-falls over.
+server is slower at first and warms up by answering; when it gets more than one
+request at once it becomes much slower, as a real one falls over.
 """
 
 import random
@@ -18,7 +18,9 @@
 
 QUEUE_LIMIT = 8  # requests that wait before the server sheds
 COLD_OVERLOAD_FACTOR = 10.0  # times the service time of a cold server under load
-COLD_ANSWERS = 10  # answers after which a server is warm
+COLD_SLOWNESS = 2.0  # times the service time, on top, of a server just started
+MOST_COLD_ANSWERS = 30  # answers after which any server is warm
+LEAST_COLD_ANSWERS = 5
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +69,6 @@
         service_ms: float,
         boot_id: str,
         seed: int,
-        cold_answers: int = COLD_ANSWERS,
     ) -> None:
         self.name = name
         self.boot_id = boot_id
@@ -81,12 +82,14 @@
         self._rng = random.Random(seed)
         self._waiting: list[Job] = []
         self._running: dict[tuple[str, int], Job] = {}
-        self._cold_answers = cold_answers
+        self._cold_answers = self._cold_total = 0
+        self.turn_cold(boot_id)
 
     def turn_cold(self, boot_id: str) -> None:
         """Become cold, as after a restart."""
         self.boot_id = boot_id
-        self._cold_answers = COLD_ANSWERS
+        answers = self._rng.randint(LEAST_COLD_ANSWERS, MOST_COLD_ANSWERS)
+        self._cold_answers = self._cold_total = answers
 
     @property
     def is_cold(self) -> bool:
@@ -153,6 +156,8 @@
         factor = self._rng.lognormvariate(0.0, 0.25)
         if self._rng.random() < 0.01:
             factor *= 3
+        if self.is_cold:
+            factor *= 1 + COLD_SLOWNESS * self._cold_answers / self._cold_total
         if self.is_cold and len(self._running) > 1:
             factor *= COLD_OVERLOAD_FACTOR
         return self._service_ms * factor * self.fault.slow / 1000
@@ -177,7 +182,7 @@
             Hit(
                 f"{work.shard}/{number}",
                 round(self._rng.random(), 4),
-                f"{text} at {work.shard}",
+                f"{text} at {work.shard} of {work.index_version}",
             )
             for number in range(2)
         )
--- a/currantwharf/standin/run_site.py
+++ b/currantwharf/standin/run_site.py
@@ -1,6 +1,7 @@
 """Run the stand-in platform and all stand-in backend servers in one process."""
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 from twisted.web.server import Site
@@ -12,14 +13,76 @@
 from currantwharf.standin.backend_server import backend_resource
 from currantwharf.standin.platform import Platform, platform_resource
 
+Encode = Callable[[PublishedConfig | InstanceList], bytes]
+
 
 @dataclass(slots=True)
 class RunningSite:
     """Hold the stand-ins of a site and their ports."""
 
-    platform: Platform
-    backends: dict[str, Backend]
-    ports: dict[str, Any]
+    config: PublishedConfig
+    encode: Encode
+    service_ms: float
+    reactor: Any
+    platform: Platform = field(default_factory=Platform)
+    backends: dict[str, Backend] = field(default_factory=dict)
+    ports: dict[str, Any] = field(default_factory=dict)
+    boots: int = 0
+
+    def publish(self, config: PublishedConfig) -> None:
+        """Publish a configuration, as an operator would."""
+        self.config = config
+        self.platform.values["config"].publish(self.encode(config))
+
+    async def lose(self, server: str) -> None:
+        """Make a backend server disappear, with its open connections."""
+        port = self.ports.pop(server, None)
+        if port is None:
+            return
+        for connection in list(port.factory.open_connections):
+            connection.transport.abortConnection()
+        await port.stopListening()
+
+    def restore(self, server: str) -> None:
+        """Bring a backend server back under a new boot id, cold."""
+        if server not in self.ports:
+            self.start(server)
+
+    def start(self, server: str) -> None:
+        """Start one stand-in backend server."""
+        declared = self.config.servers[server]
+        self.boots += 1
+        boot_id = f"boot-{server}-{self.boots}"
+        backend = Backend(
+            self.reactor, server, declared.slots, self.service_ms, boot_id, self.boots
+        )
+        self.backends[server] = backend
+        resource = backend_resource(backend, SystemClock())
+        self.ports[server] = listen_at(self.reactor, declared.address, resource)
+
+
+class CountingSite(Site):
+    """A web site that knows its open connections and writes no access log."""
+
+    def __init__(self, resource: Any) -> None:
+        super().__init__(resource)
+        self.open_connections: set[Any] = set()
+
+    def log(self, request: Any) -> None:
+        """Do nothing."""
+
+    def buildProtocol(self, addr: Any) -> Any:
+        """Make the channel of a connection and follow it to its end."""
+        channel: Any = super().buildProtocol(addr)
+        self.open_connections.add(channel)
+        lost = channel.connectionLost
+
+        def connection_lost(reason: Any) -> None:
+            self.open_connections.discard(channel)
+            lost(reason)
+
+        channel.connectionLost = connection_lost
+        return channel
 
 
 def run_site(
@@ -27,26 +90,21 @@
     listed: InstanceList,
     platform_address: str,
     service_ms: float,
-    encode: Any,
+    encode: Encode,
     reactor: Any,
 ) -> RunningSite:
     """Start the platform and one stand-in for each server of `config`."""
-    platform = Platform()
-    platform.values["config"].publish(encode(config))
-    platform.values["instances"].publish(encode(listed))
-    site = RunningSite(platform, {}, {})
-    resource = platform_resource(platform, reactor)
-    site.ports["platform"] = _listen(reactor, platform_address, resource)
-    for number, (name, server) in enumerate(sorted(config.servers.items())):
-        backend = Backend(
-            reactor, name, server.slots, service_ms, f"boot-{name}-1", number
-        )
-        site.backends[name] = backend
-        resource = backend_resource(backend, SystemClock())
-        site.ports[name] = _listen(reactor, server.address, resource)
+    site = RunningSite(config, encode, service_ms, reactor)
+    site.publish(config)
+    site.platform.values["instances"].publish(encode(listed))
+    resource = platform_resource(site.platform, reactor)
+    site.ports["platform"] = listen_at(reactor, platform_address, resource)
+    for server in sorted(config.servers):
+        site.start(server)
     return site
 
 
-def _listen(reactor: Any, address: str, resource: Any) -> Any:
+def listen_at(reactor: Any, address: str, resource: Any) -> Any:
+    """Serve `resource` at a `host:port`."""
     host, _, port = address.rpartition(":")
-    return reactor.listenTCP(int(port), Site(resource), interface=host)
+    return reactor.listenTCP(int(port), CountingSite(resource), interface=host)
--- /dev/null
+++ b/currantwharf/standin/site_control.py
@@ -0,0 +1,67 @@
+"""The control of a running stand-in site: faults, losses and publications."""
+
+from dataclasses import replace
+from typing import Any
+
+import msgspec
+from klein import Klein
+from twisted.web.server import Request
+
+from currantwharf.adapters.bounded_site import read_body
+from currantwharf.standin.fault import Fault
+from currantwharf.standin.run_site import RunningSite
+
+
+def control_resource(site: RunningSite) -> Any:
+    """Return the web resource by which a demo or a measurement plays the operator."""
+    app = Klein()
+
+    @app.route("/lose/<server>", methods=["POST"])
+    async def lose(request: Request, server: str) -> bytes:
+        await site.lose(server)
+        return b"{}"
+
+    @app.route("/restore/<server>", methods=["POST"])
+    def restore(request: Request, server: str) -> bytes:
+        site.restore(server)
+        return b"{}"
+
+    @app.route("/fault/<server>", methods=["POST"])
+    def fault(request: Request, server: str) -> bytes:
+        new = msgspec.json.decode(read_body(request), type=Fault)
+        for name, backend in site.backends.items():
+            if server in ("all", name):
+                backend.fault = new
+        return b"{}"
+
+    @app.route("/cold/<server>", methods=["POST"])
+    def cold(request: Request, server: str) -> bytes:
+        for name, backend in site.backends.items():
+            if server in ("all", name):
+                backend.turn_cold(backend.boot_id + "+")
+        return b"{}"
+
+    @app.route("/data-centre/<name>/<state>", methods=["POST"])
+    def data_centre(request: Request, name: str, state: str) -> bytes:
+        centres = dict(site.config.data_centres)
+        centres[name] = replace(centres[name], in_service=state == "in")
+        site.publish(replace(site.config, data_centres=centres))
+        return b"{}"
+
+    @app.route("/index/<version>", methods=["POST"])
+    def index(request: Request, version: str) -> bytes:
+        site.publish(replace(site.config, index_version=version))
+        return b"{}"
+
+    @app.route("/platform/<state>", methods=["POST"])
+    def platform(request: Request, state: str) -> bytes:
+        site.platform.down = state == "down"
+        return b"{}"
+
+    @app.route("/stats")
+    def stats(request: Request) -> bytes:
+        return msgspec.json.encode(
+            {name: backend.stats for name, backend in site.backends.items()}
+        )
+
+    return app.resource()
--- /dev/null
+++ b/currantwharf/tests/test_fuzz.py
@@ -0,0 +1,213 @@
+"""Stateful fuzzing of whole instances in a fake world, against the oracle."""
+
+import os
+import unittest
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from currantwharf.standin import Fault
+from currantwharf.tests.builders import CENTRES, make_body, make_order, make_plan
+from currantwharf.tests.fake_world import FakeWorld
+from currantwharf.tests.oracle import Oracle
+from currantwharf.wire import Outcome
+
+CALM_S = 12.0  # seconds without a fault after which everything has to be answered
+CI_EXAMPLES = 25
+STEPS = 25
+
+names = st.sampled_from([f"i{number}" for number in range(4)])
+servers = st.sampled_from([f"{s}-0-{r}" for s in ("camphor", "longan") for r in (0, 1)])
+centres = st.sampled_from(CENTRES)
+waits = st.sampled_from([0.004, 0.02, 0.1, 0.5, 1.0, 3.0])
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Play callers, operators and faults; the oracle watches."""
+
+    @initialize(seed=st.integers(0, 1000))
+    def begin(self, seed: int) -> None:
+        self.world = FakeWorld(make_plan(instances=4), seed)
+        self.oracle = Oracle(self.world)
+        self.oracle.note_index()
+        self.count = 0
+        self.orders: list[int] = []
+        self.faulty: set[str] = set()
+        self.indexes = 1
+        self.world.advance(7)
+
+    def disturb(self) -> None:
+        self.oracle.disturbed_at = self.world.clock.seconds()
+
+    def send(self, name: str, body: dict) -> None:
+        if name in self.world.nodes and not self.world.reactors[name].paused:
+            self.oracle.note_sent(self.world.send(name, body))
+
+    @rule(name=names, number=st.integers(1, 6))
+    def query(self, name: str, number: int) -> None:
+        for _ in range(number):
+            self.count += 1
+            self.send(name, make_body(self.count))
+
+    @rule(name=names)
+    def order(self, name: str) -> None:
+        self.count += 1
+        self.orders.append(self.count)
+        self.issued = self.world.wall()
+        self.send(name, make_order(self.count, self.issued))
+
+    @precondition(lambda self: self.orders)
+    @rule(name=names)
+    def order_again(self, name: str) -> None:
+        again = make_order(self.orders[-1], self.issued, resend=True)
+        self.send(name, again)
+
+    @rule(wait=waits)
+    def wait(self, wait: float) -> None:
+        self.world.advance(wait)
+
+    @rule(server=servers)
+    def lose_backend(self, server: str) -> None:
+        self.world.lose_backend(server)
+        self.faulty.add(server)
+        self.disturb()
+
+    @rule(server=servers)
+    def start_backend(self, server: str) -> None:
+        if server not in self.world.backends:
+            self.world.advance(1.0)
+            self.world.start_backend(server)
+            self.faulty.discard(server)
+            self.disturb()
+
+    @rule(server=servers, fault=st.sampled_from(["slow", "silent", "failing", "none"]))
+    def fault(self, server: str, fault: str) -> None:
+        backend = self.world.backends.get(server)
+        if backend is not None:
+            backend.fault = Fault(
+                10.0 if fault == "slow" else 1.0,
+                fault == "silent",
+                False,
+                fault == "failing",
+            )
+            self.faulty.add(server)
+            if fault == "none":
+                self.faulty.discard(server)
+            self.disturb()
+
+    @rule(name=names)
+    def kill(self, name: str) -> None:
+        if len(self.world.nodes) > 2:
+            self.world.kill(name)
+            self.disturb()
+
+    @rule(name=names)
+    def start(self, name: str) -> None:
+        if name not in self.world.nodes:
+            self.world.start(name)
+            self.disturb()
+
+    @rule(name=names, seconds=st.sampled_from([0.3, 2.0, 30.0]))
+    def pause_and_wake(self, name: str, seconds: float) -> None:
+        if name in self.world.nodes:
+            self.world.pause(name)
+            self.world.advance(min(seconds, 5.0))
+            self.world.resume(name)
+            self.disturb()
+
+    @rule(name=names, one_way=st.booleans())
+    def part(self, name: str, one_way: bool) -> None:
+        self.world.part({name}, one_way)
+        self.disturb()
+
+    @rule()
+    def heal(self) -> None:
+        self.world.heal()
+        self.disturb()
+
+    @rule(down=st.booleans())
+    def platform_down(self, down: bool) -> None:
+        self.world.platform.down = down
+        self.disturb()
+
+    @rule(centre=centres, in_service=st.booleans())
+    def data_centre(self, centre: str, in_service: bool) -> None:
+        self.world.set_data_centre(centre, in_service)
+        self.oracle.published_at = self.world.clock.seconds()
+        self.oracle.centre_out_since.pop(centre, None)
+        if not in_service and not self.world.is_disturbed():
+            self.oracle.centre_out_since[centre] = self.world.clock.seconds()
+        self.disturb()
+
+    @rule(server=servers)
+    def server_leaves(self, server: str) -> None:
+        self.world.publish_list((server,))
+        self.oracle.server_out_since.clear()
+        if not self.world.is_disturbed():
+            self.oracle.server_out_since[server] = self.world.clock.seconds()
+        self.disturb()
+
+    @rule()
+    def new_index(self) -> None:
+        self.indexes += 1
+        self.world.set_index(f"index-{self.indexes}")
+        self.oracle.note_index()
+        self.oracle.published_at = self.world.clock.seconds()
+
+    @rule()
+    def calm(self) -> None:
+        """Mend everything; then every request is answered whole."""
+        world = self.world
+        world.heal()
+        world.platform.down = False
+        for centre in CENTRES:
+            world.set_data_centre(centre, True)
+        world.publish_list()
+        self.oracle.centre_out_since.clear()
+        self.oracle.server_out_since.clear()
+        for server in world.config.servers:
+            if server not in world.backends:
+                world.start_backend(server)
+            world.backends[server].fault = Fault()
+        for name in world.listed:
+            if name not in world.nodes:
+                world.start(name)
+        self.oracle.published_at = world.clock.seconds()
+        self.disturb()
+        world.advance(CALM_S)
+        before = len(self.oracle.sent)
+        for name in sorted(world.nodes):
+            self.query(name, 1)
+        self.order("i0")
+        world.advance(1.2)
+        for sent in self.oracle.sent[before:]:
+            assert sent.result is not None, "no answer in calm"
+            assert sent.result.outcome is Outcome.ANSWERED, f"calm, but {sent.result}"
+
+    @invariant()
+    def holds(self) -> None:
+        self.oracle.check()
+
+
+class FuzzTests(unittest.TestCase):
+    def test_invariants_hold(self) -> None:
+        examples = int(os.environ.get("CURRANTWHARF_FUZZ_EXAMPLES", CI_EXAMPLES))
+        chosen = settings(
+            max_examples=examples,
+            stateful_step_count=STEPS,
+            derandomize=examples == CI_EXAMPLES,
+            deadline=None,
+            suppress_health_check=list(HealthCheck),
+            print_blob=True,
+            database=None,
+        )
+        from hypothesis.stateful import run_state_machine_as_test
+
+        run_state_machine_as_test(FleetMachine, settings=chosen)
