Call an order not run only under its claim, and test every interface

Cause: the fuzz found an order that was called not run while a resend of the same id ran through another instance. A try that was cut off from the holders took its own failure for a proof. Ruled out: a double run; the order ran once.

Change: not run needs the claim of the id, which rules out every other try, or a refusal at the door of a first send. Everything else is unknown. A request that was refused for its size or slowness is not taken up when its rest arrives.

Conclusion: what one try sees proves nothing about another.

--- a/currantwharf/adapters/bounded_site.py
+++ b/currantwharf/adapters/bounded_site.py
@@ -16,6 +16,7 @@
 
     body_limit = 1_000_000
     _read_timer: Any = None
+    _refused = False
 
     def gotLength(self, length: int | None) -> None:
         """Refuse a body of unknown or too great length before it is stored."""
@@ -31,7 +32,7 @@
     def requestReceived(self, command: bytes, path: bytes, version: bytes) -> None:
         """Hand the request on, once its body is whole."""
         self._stop_timer()
-        if self.finished or self._disconnected:
+        if self._refused:
             return
         super().requestReceived(command, path, version)
 
@@ -48,6 +49,7 @@
         self._refuse(408)
 
     def _refuse(self, status: int) -> None:
+        self._refused = True
         message = http.RESPONSES.get(status, b"")
         body = b'{"outcome":"not_run","error":{"type":"%s","detail":"%s"}}' % (
             ERROR_TYPES[status],
@@ -77,13 +79,15 @@
         """Do nothing."""
 
 
-def make_site(resource: Any, body_limit: int) -> Site:
+def make_site(resource: Any, body_limit: int, reactor: Any = None) -> Site:
     """Return a site whose requests carry at most `body_limit` bytes."""
 
     class LimitedRequest(BoundedRequest):
         pass
 
     LimitedRequest.body_limit = body_limit
-    site = QuietSite(resource, requestFactory=LimitedRequest, timeout=IDLE_S)
+    site = QuietSite(
+        resource, requestFactory=LimitedRequest, timeout=IDLE_S, reactor=reactor
+    )
     site.displayTracebacks = False
     return site
--- a/currantwharf/adapters/caller_server.py
+++ b/currantwharf/adapters/caller_server.py
@@ -79,17 +79,30 @@
         error: CallerError = parsed.unwrap_err()
         handler.count_refused(error.type)
         request.setResponseCode(400)
-        return encode_error(error.type, error.detail)
+        return encode_error(raw, error.type, error.detail)
     result = await handler.run(parsed.unwrap())
     status = STATUS_OF_REASON.get(result.reason, STATUS_OF_OUTCOME[result.outcome])
     request.setResponseCode(status)
     return encode_result(result)
 
 
-def encode_error(kind: str, detail: str) -> bytes:
-    """Return the body that refuses a request which was not run."""
+def encode_error(raw: bytes, kind: str, detail: str) -> bytes:
+    """Return the body that refuses the request `raw` at the door.
+
+    >>> encode_error(b"{}", "not_json", "")
+    b'{"outcome":"not_run","error":{"type":"not_json","detail":""}}'
+    """
+    outcome = Outcome.UNKNOWN if _was_sent_before(raw) else Outcome.NOT_RUN
     error = {"type": kind, "detail": detail}
-    return msgspec.json.encode({"outcome": Outcome.NOT_RUN, "error": error})
+    return msgspec.json.encode({"outcome": outcome, "error": error})
+
+
+def _was_sent_before(raw: bytes) -> bool:
+    """Return whether the caller says that an earlier try of the id may have run."""
+    try:
+        return bool(msgspec.json.decode(raw).get("resend"))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError, AttributeError):
+        return False
 
 
 def encode_result(result: QueryResult) -> bytes:
--- /dev/null
+++ b/currantwharf/adapters/tests/test_caller_interface.py
@@ -0,0 +1,166 @@
+"""Bad input at the callers' interface: a typed error, and no work sent on."""
+
+import unittest
+from typing import Any
+
+import msgspec
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from twisted.internet.task import Clock as FakeReactor
+
+from currantwharf.adapters.bounded_site import BODY_S, make_site
+from currantwharf.adapters.caller_body import BODY_LIMIT, parse_caller_request
+from currantwharf.adapters.caller_error import CallerErrorType
+from currantwharf.adapters.caller_server import caller_resource
+from currantwharf.tests.builders import make_body, make_config, make_order, make_plan
+from currantwharf.tests.fake_world import FakeWorld
+from currantwharf.tests.memory_http import MemoryConnection, make_request
+
+CONFIG = make_config()
+scalars = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9)
+values = st.recursive(
+    scalars,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+def parse(body: Any, config: Any = CONFIG) -> Any:
+    raw = body if isinstance(body, bytes) else msgspec.json.encode(body)
+    return parse_caller_request(raw, config, 5.0, 1000.0)
+
+
+class ParseCallerRequestTests(unittest.TestCase):
+    def assert_error(self, change: dict, expected: CallerErrorType) -> None:
+        error = parse({**make_body(), **change}).unwrap_err()
+        self.assertIs(error.type, expected)
+
+    def test_valid_request(self) -> None:
+        request = parse(make_body()).unwrap()
+        self.assertEqual((request.deadline, request.key), (6.0, "request-1"))
+
+    def test_equal_bodies_have_equal_fingerprints(self) -> None:
+        one = parse(make_body()).unwrap()
+        other = parse({**make_body(), "id": "another"}).unwrap()
+        changed = parse({**make_body(), "body": {"text": "else"}}).unwrap()
+        self.assertEqual(one.fingerprint, other.fingerprint)
+        self.assertNotEqual(one.fingerprint, changed.fingerprint)
+
+    def test_each_fault_has_its_type(self) -> None:
+        for change, expected in (
+            ({"class": "stone"}, CallerErrorType.UNKNOWN_CLASS),
+            ({"class": 5}, CallerErrorType.BAD_FIELD),
+            ({"id": ""}, CallerErrorType.BAD_ID),
+            ({"id": "x" * 201}, CallerErrorType.BAD_ID),
+            ({"id": "a\nb"}, CallerErrorType.BAD_ID),
+            ({"caller": "a\x00b"}, CallerErrorType.BAD_ID),
+            ({"deadline_ms": None}, CallerErrorType.DEADLINE_MISSING),
+            ({"deadline_ms": 0}, CallerErrorType.DEADLINE_PAST),
+            ({"deadline_ms": -5}, CallerErrorType.DEADLINE_PAST),
+            ({"deadline_ms": 1e12}, CallerErrorType.DEADLINE_HUGE),
+            ({"deadline_ms": "soon"}, CallerErrorType.BAD_FIELD),
+            ({"class": "block-order"}, CallerErrorType.ISSUED_AT_MISSING),
+        ):
+            with self.subTest(change=change):
+                self.assert_error(change, expected)
+        late = parse(make_order(1, issued_at=2000.0)).unwrap_err()
+        self.assertIs(late.type, CallerErrorType.ISSUED_AT_FUTURE)
+
+    @settings(derandomize=True, database=None, max_examples=200)
+    @given(st.binary(max_size=200) | values.map(msgspec.json.encode))
+    def test_any_bytes_give_a_typed_error(self, raw: bytes) -> None:
+        self.assertTrue(parse(raw).is_err())
+
+    @settings(derandomize=True, database=None, max_examples=200)
+    @given(st.dictionaries(st.sampled_from([*make_order(1, 0.0), "key"]), values))
+    def test_any_fields_give_a_request_or_a_typed_error(self, change: dict) -> None:
+        parsed = parse({**make_body(), **change})
+        if parsed.is_err():
+            self.assertIn(parsed.unwrap_err().type, list(CallerErrorType))
+
+    def test_deep_nesting_is_refused(self) -> None:
+        parsed = parse(b'{"class":' + b"[" * 50_000 + b"]" * 50_000 + b"}")
+        self.assertTrue(parsed.is_err())
+
+
+class CallerSiteTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = FakeWorld(make_plan())
+        self.world.advance(7)
+        self.reactor = FakeReactor()
+        resource = caller_resource(self.world.nodes["i0"])
+        self.site = make_site(resource, BODY_LIMIT, self.reactor)
+
+    def exchange(self, raw: bytes) -> Any:
+        connection = MemoryConnection(self.site)
+        connection.send(raw)
+        self.world.advance(0.1)
+        return connection.answer()
+
+    def assert_refused(self, raw: bytes, status: int, kind: str) -> None:
+        found = self.exchange(raw)
+        self.assertEqual(found.status, status)
+        self.assertEqual(found.body["outcome"], "not_run")
+        self.assertEqual(found.body["error"]["type"], kind)
+        self.assertEqual(self.world.backend_calls, [])
+
+    def test_large_body_is_refused_before_it_is_read(self) -> None:
+        head = make_request("POST", "/v1/requests", b"x" * (BODY_LIMIT + 1))
+        self.assert_refused(head[:200], 413, "body_too_large")
+
+    def test_body_without_length_is_refused(self) -> None:
+        raw = make_request("GET", "/v1/requests", b"", "transfer-encoding: chunked")
+        self.assert_refused(raw.replace(b"GET", b"POST"), 411, "length_required")
+
+    def test_slow_body_is_refused_in_time(self) -> None:
+        connection = MemoryConnection(self.site)
+        whole = make_request("POST", "/v1/requests", b"{" * 100)
+        connection.send(whole[:-50])
+        self.reactor.advance(BODY_S / 2)
+        self.assertEqual(connection.answer().status, 0)
+        self.reactor.advance(BODY_S)
+        found = connection.answer()
+        self.assertEqual((found.status, found.closed), (408, True))
+        connection.send(whole[-50:])
+        self.assertEqual(connection.answer().status, 408)
+
+    def test_header_flood_is_cut_off(self) -> None:
+        connection = MemoryConnection(self.site)
+        connection.send(b"POST /v1/requests HTTP/1.1\r\n")
+        for number in range(2000):
+            if connection.answer().closed:
+                break
+            connection.send(f"x-{number}: {'y' * 50}\r\n".encode())
+        self.assertTrue(connection.answer().closed)
+
+    def test_not_json(self) -> None:
+        raw = make_request("POST", "/v1/requests", b"\xff\xfe{")
+        self.assert_refused(raw, 400, "not_json")
+
+    def test_unknown_paths_and_methods_are_typed(self) -> None:
+        for method, path in (("GET", "/nothing"), ("PUT", "/v1/requests")):
+            found = self.exchange(make_request(method, path))
+            self.assertIn(found.status, (404, 405))
+            self.assertEqual(found.body["error"]["type"], "no_such_resource")
+
+    def test_resend_is_not_called_not_run_at_the_door(self) -> None:
+        body = msgspec.json.encode({"resend": True, "id": "o1"})
+        found = self.exchange(make_request("POST", "/v1/requests", body))
+        self.assertEqual(found.body["outcome"], "unknown")
+
+    @settings(
+        derandomize=True,
+        database=None,
+        max_examples=60,
+        deadline=None,
+        suppress_health_check=[HealthCheck.differing_executors],
+    )
+    @given(st.binary(max_size=300), st.sampled_from(["POST", "GET", "DELETE"]))
+    def test_any_body_gets_an_answer(self, body: bytes, method: str) -> None:
+        raw = make_request(method, "/v1/requests", body)
+        found = self.exchange(raw)
+        self.assertIn(found.status, (400, 404, 405))
+        self.assertIsNotNone(found.body)
--- /dev/null
+++ b/currantwharf/adapters/tests/test_peer_interface.py
@@ -0,0 +1,85 @@
+"""Bad input at the peers' interface, and decoding of what a server sends back."""
+
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.task import Clock as FakeReactor
+
+from currantwharf.adapters.bounded_site import make_site
+from currantwharf.adapters.peer_server import peer_resource
+from currantwharf.owner import BackendAnswer
+from currantwharf.tests.builders import (
+    make_ack,
+    make_answer,
+    make_news,
+    make_plan,
+    make_shard_request,
+)
+from currantwharf.tests.fake_world import FakeWorld
+from currantwharf.tests.memory_http import MemoryConnection, make_request
+from currantwharf.wire import (
+    Cancel,
+    Claim,
+    ClaimReply,
+    ClaimResult,
+    Heartbeat,
+    ServerReleased,
+    messages_of,
+    pack,
+    unpack,
+)
+
+MESSAGES = [
+    Heartbeat(make_ack(), (make_news("i2", "dead"),)),
+    ServerReleased("s1", 2.0, "boot-1"),
+    make_answer(make_shard_request()),
+    Cancel("q1", 1, "s1"),
+    ClaimResult("r1", "t1", True, '{"a":1}'),
+    ClaimReply("r1", "t1", "i1", False, answer='{"a":1}'),
+    Claim("r1", "t1", 1.5, "digest"),
+]
+
+
+class EnvelopeTests(unittest.TestCase):
+    def test_every_kind_survives_the_wire(self) -> None:
+        found = messages_of(unpack(pack("i1", "b1", MESSAGES)))
+        self.assertEqual(found, MESSAGES)
+
+    def test_body_of_a_request_survives_as_it_is(self) -> None:
+        envelope = unpack(pack("i1", "b1", [make_shard_request()]))
+        self.assertEqual(bytes(envelope.requests[0].body), b"{}")
+
+    @settings(derandomize=True, database=None, max_examples=200)
+    @given(st.data())
+    def test_truncated_and_changed_envelopes_are_refused_or_read(self, data) -> None:  # noqa: ANN001
+        raw = pack("i1", "b1", [*MESSAGES, make_shard_request()])
+        cut = data.draw(st.integers(0, len(raw) - 1))
+        with self.assertRaises((msgspec.MsgspecError, UnicodeDecodeError)):
+            unpack(raw[:cut])
+        changed = bytearray(raw)
+        changed[cut] = data.draw(st.integers(0, 255))
+        try:
+            unpack(bytes(changed))
+        except (msgspec.MsgspecError, UnicodeDecodeError):
+            return
+
+    @settings(derandomize=True, database=None, max_examples=200)
+    @given(st.binary(max_size=300))
+    def test_any_bytes_from_a_server_are_refused_by_type(self, raw: bytes) -> None:
+        with self.assertRaises((msgspec.MsgspecError, UnicodeDecodeError)):
+            msgspec.json.decode(raw, type=BackendAnswer)
+
+
+class PeerSiteTests(unittest.TestCase):
+    @settings(derandomize=True, database=None, max_examples=40, deadline=None)
+    @given(st.binary(max_size=200))
+    def test_any_bytes_get_a_typed_refusal(self, body: bytes) -> None:
+        site = make_site(peer_resource(WORLD.nodes["i0"]), 1000, FakeReactor())
+        connection = MemoryConnection(site)
+        connection.send(make_request("POST", "/peer/messages", body))
+        self.assertEqual(connection.answer().status, 400)
+
+
+WORLD = FakeWorld(make_plan())
--- a/currantwharf/node/entry_task.py
+++ b/currantwharf/node/entry_task.py
@@ -129,7 +129,7 @@
             request.request_id,
             request.class_name,
             request.caller,
-            Outcome.NOT_RUN,
+            Outcome.UNKNOWN if request.resend else Outcome.NOT_RUN,
             reason,
             versioned.config.index_version,
             Coverage(0, 0),
--- a/currantwharf/once/running_order.py
+++ b/currantwharf/once/running_order.py
@@ -72,7 +72,7 @@
     def start(self, now: float) -> list[QueryAction]:
         """Ask the holders for the claim."""
         if len(self._holders) < MAJORITY:
-            return self._finish(Outcome.NOT_RUN, Reason.CLAIM_REFUSED)
+            return self._refuse(Reason.CLAIM_REFUSED)
         request = self.request
         claim = Claim(
             request.request_id, self.query, request.issued_at, request.fingerprint
@@ -154,13 +154,13 @@
         refused = [reply for reply in replies if not reply.granted]
         if len(self._holders) - len(refused) >= MAJORITY:
             return []
-        for reply in refused:
-            if reply.reason is Reason.ID_REUSED:
-                return self._refuse(Reason.ID_REUSED)
-        for reply in refused:
-            if reply.reason is Reason.ALREADY_CLAIMED:
-                return self._repeat_answer(refused)
-        return self._refuse(refused[-1].reason)
+        reasons = [reply.reason for reply in refused]
+        if reasons.count(Reason.ID_REUSED) >= MAJORITY:
+            # Most holders know the id with another body, so this body never ran.
+            return self._finish(Outcome.NOT_RUN, Reason.ID_REUSED)
+        if Reason.ALREADY_CLAIMED in reasons:
+            return self._repeat_answer(refused)
+        return self._refuse(reasons[-1])
 
     def _repeat_answer(self, refused: list[ClaimReply]) -> list[QueryAction]:
         """Give the answer of the earlier run, if a holder knows it."""
@@ -173,14 +173,13 @@
         return release + self._finish(Outcome.UNKNOWN, Reason.ALREADY_CLAIMED)
 
     def _refuse(self, reason: Reason) -> list[QueryAction]:
-        """End without having sent anything.
+        """End without having sent anything that may have run.
 
-        This try is proved not to have run. For an id that the caller has sent before,
-        an earlier try may have, so the outcome of the request is unknown, unless the
-        claim was granted, which rules out every other try.
+        A claim that was granted rules out every other try, so the request is proved
+        not to have run. Without it another try of the same id may have run elsewhere
+        while this one waited.
         """
-        proved = self._claimed or not self.request.resend
-        outcome = Outcome.NOT_RUN if proved else Outcome.UNKNOWN
+        outcome = Outcome.NOT_RUN if self._claimed else Outcome.UNKNOWN
         return self._tell_holders(ran=False) + self._finish(outcome, reason)
 
     def _send(self, now: float) -> list[QueryAction]:
