Give the refusal of a joining instance its request

Cause: the refusal at the door of an instance that is not ready lacked an argument and would have failed; the types said so, the tests had no such case. Change: the argument, and a test of a joining instance.

--- a/currantwharf/adapters/caller_server.py
+++ b/currantwharf/adapters/caller_server.py
@@ -68,11 +68,11 @@
 
 async def _answer(handler: CallerHandler, request: Request) -> bytes:
     request.setHeader("content-type", "application/json")
+    raw: bytes = read_body(request)
     config = handler.config_for_callers()
     if config is None:
         request.setResponseCode(503)
-        return encode_error("not_ready", "this instance takes no requests now")
-    raw: bytes = read_body(request)
+        return encode_error(raw, "not_ready", "this instance takes no requests now")
     now, wall = handler.clocks()
     parsed = parse_caller_request(raw, config, now, wall)
     if parsed.is_err():
--- a/currantwharf/adapters/tests/test_caller_interface.py
+++ b/currantwharf/adapters/tests/test_caller_interface.py
@@ -146,6 +146,18 @@
             self.assertIn(found.status, (404, 405))
             self.assertEqual(found.body["error"]["type"], "no_such_resource")
 
+    def test_joining_instance_refuses_without_claiming_too_much(self) -> None:
+        self.world.kill("i0")
+        site = make_site(
+            caller_resource(self.world.start("i0")), BODY_LIMIT, self.reactor
+        )
+        for resend, outcome in ((False, "not_run"), (True, "unknown")):
+            connection = MemoryConnection(site)
+            body = msgspec.json.encode({**make_body(), "resend": resend})
+            connection.send(make_request("POST", "/v1/requests", body))
+            found = connection.answer()
+            self.assertEqual((found.status, found.body["outcome"]), (503, outcome))
+
     def test_resend_is_not_called_not_run_at_the_door(self) -> None:
         body = msgspec.json.encode({"resend": True, "id": "o1"})
         found = self.exchange(make_request("POST", "/v1/requests", body))
