Call below treq on the hot path; add a baseline and the cost of each phase

Cause: a profile at fan-out 50 showed a third of a call's processor time in treq parsing and IDNA-encoding the URL, cookies and wrappers. Ruled out: our own decisions (under a tenth) and the codec (under 2%).

Change: posts to instances and backend servers go to the agent below treq. The bench reads processor time, messages and backend runs for each phase; a plain baseline (direct, round-robin, no hedge) runs by the same experiment file. Sites and settings are made from one plan file; YAML files have one loader.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	touch $@
 
 demo: install
-	sh examples/run_site.sh $(RUN) kuo-hsing-small \
+	sh tools/run_site.sh $(RUN) examples/kuo-hsing-small/site.yaml \
 	  $(RUN)/currantwharf demo examples/kuo-hsing-small/demo.yaml
 
 test: install
--- a/currantwharf/adapters/backend_client.py
+++ b/currantwharf/adapters/backend_client.py
@@ -7,17 +7,15 @@
 from typing import Any
 
 import msgspec
-import treq
-from twisted.web.http_headers import Headers
 
 from currantwharf.adapters.http_errors import is_timeout, was_sent
 from currantwharf.adapters.http_pool import make_agent
+from currantwharf.adapters.json_post import PostAnswer, post_json
 from currantwharf.owner import BackendAnswer, CallFailed, CallResult
 from currantwharf.wire import Cancel, ShardRequest
 
 SPARE_CONNECTIONS = 2  # connections beyond the slots, for cancellations
 CANCEL_S = 1.0  # seconds for a cancellation
-JSON_HEADERS = Headers({"content-type": ["application/json"]})
 
 
 class BackendClient:
@@ -25,24 +23,19 @@
 
     def __init__(self, reactor: Any, address: str, slots: int) -> None:
         self._agent = make_agent(reactor, slots + SPARE_CONNECTIONS)
-        self._address = address
+        self._reactor = reactor
+        self._ask_url = f"http://{address}/v1/shard-requests".encode()
+        self._cancel_url = f"http://{address}/v1/cancellations".encode()
 
     async def ask(self, requests: tuple[ShardRequest, ...]) -> CallResult:
         """Send shard requests in one call and return what came of it."""
         timeout = max(req.budget_ms for req in requests) / 1000
         body = msgspec.json.encode({"requests": [_item(req) for req in requests]})
         try:
-            response = await treq.post(
-                f"http://{self._address}/v1/shard-requests",
-                data=body,
-                headers=JSON_HEADERS,
-                agent=self._agent,
-                timeout=max(timeout, 0.001),
-            )
-            content: bytes = await treq.content(response)
-            if response.code != 200:
+            answer = await self._post(self._ask_url, body, max(timeout, 0.001))
+            if answer.status != 200:
                 return CallFailed(sent=True)
-            return msgspec.json.decode(content, type=BackendAnswer)
+            return _decoder.decode(answer.body)
         except msgspec.MsgspecError:
             return CallFailed(sent=True)
         except Exception as exc:
@@ -52,18 +45,18 @@
         """Ask the server to stop working on requests; no answer is needed."""
         pairs = [{"query": c.query, "attempt": c.attempt} for c in cancels]
         try:
-            response = await treq.post(
-                f"http://{self._address}/v1/cancellations",
-                data=msgspec.json.encode({"requests": pairs}),
-                headers=JSON_HEADERS,
-                agent=self._agent,
-                timeout=CANCEL_S,
-            )
-            await treq.content(response)
+            body = msgspec.json.encode({"requests": pairs})
+            await self._post(self._cancel_url, body, CANCEL_S)
         except Exception:
             # A cancellation only saves work; the answer is dropped in any case.
             return
 
+    async def _post(self, url: bytes, body: bytes, timeout_s: float) -> PostAnswer:
+        return await post_json(self._agent, self._reactor, url, body, timeout_s)
+
+
+_decoder = msgspec.json.Decoder(BackendAnswer)
+
 
 def _item(request: ShardRequest) -> dict[str, object]:
     return {
--- a/currantwharf/adapters/peer_client.py
+++ b/currantwharf/adapters/peer_client.py
@@ -4,34 +4,31 @@
 
 import msgspec
 import treq
-from twisted.web.http_headers import Headers
 
 from currantwharf.adapters.http_pool import make_agent
+from currantwharf.adapters.json_post import post_json
 from currantwharf.adapters.peer_error import PeerError
 from currantwharf.fleet import InstanceList
 from currantwharf.wire import Ack, MemberNews
 
 CONNECTIONS = 4  # idle connections kept to each peer
 CALL_S = 2.0  # seconds for one call
-JSON_HEADERS = Headers({"content-type": ["application/json"]})
 
 
 class PeerClient:
     """Call other instances over HTTP with JSON."""
 
     def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
         self._agent = make_agent(reactor, CONNECTIONS)
 
     async def post(self, address: str, envelope: bytes) -> Ack:
         """Deliver an envelope and return the peer's acknowledgement."""
-        response = await treq.post(
-            f"http://{address}/peer/messages",
-            data=envelope,
-            headers=JSON_HEADERS,
-            agent=self._agent,
-            timeout=CALL_S,
-        )
-        return msgspec.json.decode(await _body_of(response), type=Ack)
+        url = f"http://{address}/peer/messages".encode()
+        answer = await post_json(self._agent, self._reactor, url, envelope, CALL_S)
+        if answer.status != 200:
+            raise PeerError(answer.status)
+        return msgspec.json.decode(answer.body, type=Ack)
 
     async def get_config(self, address: str) -> tuple[int, bytes]:
         """Return the version and the document of a peer's configuration."""
--- a/currantwharf/bench/experiment.py
+++ b/currantwharf/bench/experiment.py
@@ -45,7 +45,9 @@
     """Hold one experiment, as a YAML file gives it.
 
     `instances` are the callers' addresses, used in turn. `seed` sets the times of
-    the requests, so that two runs offer the same load.
+    the requests, so that two runs offer the same load. `operators` are the operators'
+    addresses of the same instances and `control` that of the stand-ins; where they
+    are given, the cost of each phase is measured too.
     """
 
     name: str
@@ -53,4 +55,5 @@
     loads: tuple[ClassLoad, ...]
     phases: tuple[Phase, ...]
     seed: int = 1
+    operators: tuple[str, ...] = ()
     control: str = ""
--- a/currantwharf/bench/load.py
+++ b/currantwharf/bench/load.py
@@ -12,6 +12,7 @@
 from twisted.web.http_headers import Headers
 
 from currantwharf.adapters.http_pool import make_agent
+from currantwharf.bench.cost import cost_between, read_cost
 from currantwharf.bench.experiment import ClassLoad, Event, Experiment, Phase
 from currantwharf.metrics import ClassHistograms
 from currantwharf.node import SystemClock
@@ -29,6 +30,7 @@
     name: str
     seconds: float
     classes: dict[str, ClassHistograms] = field(default_factory=dict)
+    cost: dict[str, float] = field(default_factory=dict)
 
 
 class LoadGenerator:
@@ -53,6 +55,7 @@
 
     async def _run_phase(self, phase: Phase) -> PhaseResult:
         result = PhaseResult(phase.name, phase.seconds)
+        before = await read_cost(self._experiment, self._agent)
         begin = self._clock.now()
         events = [ensureDeferred(self._play(event)) for event in phase.events]
         runs = [
@@ -61,6 +64,9 @@
         ]
         everything: list[Deferred[None]] = events + runs
         await DeferredList(everything, fireOnOneErrback=True)
+        seconds = self._clock.now() - begin
+        after = await read_cost(self._experiment, self._agent)
+        result.cost = cost_between(before, after, seconds)
         return result
 
     async def _offer(
--- a/currantwharf/bench/report.py
+++ b/currantwharf/bench/report.py
@@ -16,6 +16,7 @@
         {
             "phase": result.name,
             "seconds": result.seconds,
+            "cost": result.cost,
             "classes": {
                 name: histograms.summary()
                 for name, histograms in result.classes.items()
@@ -31,6 +32,8 @@
     for phase in summary:
         for name, found in sorted(phase["classes"].items()):
             lines.append(_line(phase["phase"], name, found))
+    lines.append("")
+    lines.extend(_cost_line(phase) for phase in summary if phase["cost"])
     return "\n".join(lines)
 
 
@@ -58,6 +61,20 @@
     )
 
 
+def _cost_line(phase: dict[str, Any]) -> str:
+    cost = phase["cost"]
+    count = sum(found["count"] for found in phase["classes"].values())
+    each = cost["cpu_ms"] / count if count else 0.0
+    runs = cost["backend_runs"] / count if count else 0.0
+    return (
+        f"{phase['phase']:<22}processor {each:.2f} ms a request, {runs:.2f} runs at "
+        f"backend servers a request (peak {cost['backend_peak']}, cold peak "
+        f"{cost['cold_peak']}), {cost['peer_calls']} peer calls with "
+        f"{cost['peer_messages']} messages and {cost['peer_bytes']} bytes, "
+        f"{cost['platform_calls']} platform calls, {cost['peak_mb']} MB"
+    )
+
+
 def _ratio(old: dict[str, Any], new: dict[str, Any], quantile: str) -> str:
     was, now = old["latency_ms"][quantile], new["latency_ms"][quantile]
     ratio = now / was if was else 0.0
--- a/currantwharf/cli/__init__.py
+++ b/currantwharf/cli/__init__.py
@@ -8,8 +8,8 @@
 from currantwharf.cli.completion_command import completion
 from currantwharf.cli.demo_command import demo
 from currantwharf.cli.query_command import query
-from currantwharf.cli.serve_command import serve
-from currantwharf.cli.standin_command import standin
+from currantwharf.cli.serve_command import baseline, serve
+from currantwharf.cli.standin_command import make_site, standin
 from currantwharf.cli.status_command import status
 
 
@@ -20,11 +20,13 @@
 
 
 for command in (
+    baseline,
     bench,
     check_settings,
     check_targets,
     completion,
     demo,
+    make_site,
     query,
     serve,
     standin,
--- a/currantwharf/cli/bench_command.py
+++ b/currantwharf/cli/bench_command.py
@@ -1,14 +1,14 @@
 """The command `bench`."""
 
 import json
-import sys
 from pathlib import Path
 from typing import Any
 
 import click
 from twisted.internet.defer import ensureDeferred
 
-from currantwharf.cli.exit_code import ExitCode
+from currantwharf.cli.http_call import wait_until_ready
+from currantwharf.cli.loaded import loaded_or_exit
 
 
 @click.command()
@@ -25,11 +25,10 @@
     """Offer the load of EXPERIMENT to running instances and print what came back."""
     from currantwharf.bench import compare, load_experiment, table
 
-    loaded = load_experiment(experiment)
-    if loaded.is_err():
-        click.echo(str(loaded.unwrap_err()), err=True)
-        sys.exit(ExitCode.SETTINGS)
-    summary = run_experiment(loaded.unwrap())
+    plan = loaded_or_exit(load_experiment(experiment))
+    for address in plan.instances:
+        wait_until_ready(address)
+    summary = run_experiment(plan)
     click.echo(table(summary))
     if output is not None:
         output.write_text(json.dumps(summary, indent=1), encoding="utf-8")
--- a/currantwharf/cli/check_commands.py
+++ b/currantwharf/cli/check_commands.py
@@ -6,6 +6,7 @@
 import click
 
 from currantwharf.cli.exit_code import ExitCode
+from currantwharf.cli.loaded import loaded_or_exit
 
 
 @click.command("check-settings")
@@ -14,10 +15,7 @@
     """Check the settings file at PATH and print every problem."""
     from currantwharf.settings import load_settings
 
-    loaded = load_settings(path)
-    if loaded.is_err():
-        click.echo(str(loaded.unwrap_err()), err=True)
-        sys.exit(ExitCode.SETTINGS)
+    loaded_or_exit(load_settings(path))
     click.echo(f"{path}: the settings are valid")
 
 
@@ -32,11 +30,7 @@
     except OSError as exc:
         click.echo(str(exc), err=True)
         sys.exit(ExitCode.SETTINGS)
-    parsed = parse_config(0, document)
-    if parsed.is_err():
-        click.echo(str(parsed.unwrap_err()), err=True)
-        sys.exit(ExitCode.SETTINGS)
-    config = parsed.unwrap().config
+    config = loaded_or_exit(parse_config(0, document)).config
     for name, request_class in sorted(config.classes.items()):
         targets = request_class.targets
         way = "coverage" if targets.prefer == "latency" else "latency"
--- a/currantwharf/cli/demo_command.py
+++ b/currantwharf/cli/demo_command.py
@@ -8,12 +8,11 @@
 
 from currantwharf.cli.bench_command import run_experiment
 from currantwharf.cli.exit_code import ExitCode
-from currantwharf.cli.http_call import call
+from currantwharf.cli.http_call import call, wait_until_ready
+from currantwharf.cli.loaded import loaded_or_exit
 from currantwharf.cli.query_command import describe
 
-WAIT_S = 30  # seconds that instances may take to become ready
 SETTLE_S = 6  # seconds until holders of request ids grant claims
-POLL_S = 0.5  # seconds
 
 SAMPLES = (
     ("grain-lookup", "longan board 40 cm"),
@@ -28,13 +27,9 @@
     """Ask a running demo site, break it under load, and show what callers got."""
     from currantwharf.bench import load_experiment, table
 
-    loaded = load_experiment(experiment)
-    if loaded.is_err():
-        click.echo(str(loaded.unwrap_err()), err=True)
-        sys.exit(ExitCode.SETTINGS)
-    plan = loaded.unwrap()
+    plan = loaded_or_exit(load_experiment(experiment))
     for address in plan.instances:
-        _wait_until_ready(address)
+        wait_until_ready(address)
     time.sleep(SETTLE_S)
     for class_name, text in SAMPLES:
         _show_sample(plan.instances[0], class_name, text)
@@ -43,16 +38,6 @@
     click.echo(table(summary))
 
 
-def _wait_until_ready(address: str) -> None:
-    for _ in range(int(WAIT_S / POLL_S)):
-        answer = call(address, "/ready")
-        if answer.is_ok() and answer.unwrap().get("ready"):
-            return
-        time.sleep(POLL_S)
-    click.echo(f"{address} did not become ready in {WAIT_S} s", err=True)
-    sys.exit(ExitCode.CONNECTION)
-
-
 def _show_sample(address: str, class_name: str, text: str) -> None:
     body = {
         "id": f"demo-{class_name}-{time.time_ns()}",
--- a/currantwharf/cli/http_call.py
+++ b/currantwharf/cli/http_call.py
@@ -1,14 +1,21 @@
 """Plain calls of the command line to running instances."""
 
 import json
+import sys
+import time
 import urllib.error
 import urllib.request
 from dataclasses import dataclass
 from typing import Any
 
+import click
 from result import Err, Ok, Result
 
+from currantwharf.cli.exit_code import ExitCode
+
 CALL_S = 70.0  # seconds
+WAIT_S = 30  # seconds that an instance may take to become ready
+POLL_S = 0.5  # seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,3 +44,14 @@
         return Ok(json.load(exc))
     except (OSError, ValueError) as exc:
         return Err(ConnectionProblem(address, str(exc)))
+
+
+def wait_until_ready(address: str) -> None:
+    """Wait until an instance takes requests, or end the command."""
+    for _ in range(int(WAIT_S / POLL_S)):
+        answer = call(address, "/ready")
+        if answer.is_ok() and answer.unwrap().get("ready"):
+            return
+        time.sleep(POLL_S)
+    click.echo(f"{address} did not become ready in {WAIT_S} s", err=True)
+    sys.exit(ExitCode.CONNECTION)
--- a/currantwharf/cli/serve_command.py
+++ b/currantwharf/cli/serve_command.py
@@ -5,7 +5,7 @@
 
 import click
 
-from currantwharf.cli.exit_code import ExitCode
+from currantwharf.cli.loaded import loaded_or_exit
 from currantwharf.settings import load_settings
 
 
@@ -19,15 +19,23 @@
 )
 def serve(path: Path) -> None:
     """Run one instance until SIGTERM, then stop it gracefully."""
-    loaded = load_settings(path)
-    if loaded.is_err():
-        click.echo(str(loaded.unwrap_err()), err=True)
-        sys.exit(ExitCode.SETTINGS)
+    settings = loaded_or_exit(load_settings(path))
     from twisted.internet import reactor
 
     from currantwharf.node import serve as run
     from currantwharf.node import set_up_logs
 
-    settings = loaded.unwrap()
     set_up_logs(settings.log_level, settings.instance)
     sys.exit(run(settings, reactor))
+
+
+@click.command(hidden=True)
+@click.option("--settings", "path", type=click.Path(path_type=Path), required=True)
+def baseline(path: Path) -> None:
+    """Run one instance of the baseline that measurements compare with."""
+    settings = loaded_or_exit(load_settings(path))
+    from twisted.internet import reactor
+
+    from currantwharf.bench.baseline import serve_baseline
+
+    serve_baseline(settings, reactor)
--- a/currantwharf/cli/standin_command.py
+++ b/currantwharf/cli/standin_command.py
@@ -1,26 +1,40 @@
-"""The command `standin`: the platform and backend servers of a demo site."""
+"""The commands `standin` and `make-site`, for demos and measurements."""
 
+from pathlib import Path
 from typing import Any
 
 import click
 
-from currantwharf.demo.plans import PLANS
-from currantwharf.demo.site_plan import config_of, encode, list_of
+from currantwharf.cli.loaded import loaded_or_exit
 
 
 @click.command()
-@click.option("--site", type=click.Choice(sorted(PLANS)), default="kuo-hsing-small")
-def standin(site: str) -> None:
-    """Run the stand-in platform and backend servers of a site on loopback."""
+@click.argument("plan", type=click.Path(path_type=Path))
+def standin(plan: Path) -> None:
+    """Run the stand-in platform and backend servers of the site in PLAN."""
     from twisted.internet import reactor as installed
 
+    from currantwharf.demo.site_plan import config_of, encode, list_of, load_plan
     from currantwharf.standin.run_site import listen_at, run_site
     from currantwharf.standin.site_control import control_resource
 
     reactor: Any = installed
-    plan = PLANS[site]
+    site = loaded_or_exit(load_plan(plan))
     running = run_site(
-        config_of(plan), list_of(plan), plan.platform, plan.service_ms, encode, reactor
+        config_of(site), list_of(site), site.platform, site.service_ms, encode, reactor
     )
-    listen_at(reactor, plan.control, control_resource(running))
+    listen_at(reactor, site.control, control_resource(running))
     reactor.run()
+
+
+@click.command("make-site")
+@click.argument("plan", type=click.Path(path_type=Path))
+@click.argument("folder", type=click.Path(path_type=Path, file_okay=False))
+def make_site(plan: Path, folder: Path) -> None:
+    """Write the settings files of the instances of the site in PLAN to FOLDER."""
+    from currantwharf.demo.site_plan import config_of, encode, load_plan, write_settings
+
+    site = loaded_or_exit(load_plan(plan))
+    folder.mkdir(parents=True, exist_ok=True)
+    write_settings(site, folder)
+    (folder / "config.json").write_bytes(encode(config_of(site)))
--- a/currantwharf/config/__init__.py
+++ b/currantwharf/config/__init__.py
@@ -6,6 +6,7 @@
 from currantwharf.config.data_centre import DataCentre
 from currantwharf.config.document import parse_document
 from currantwharf.config.invalid_document import InvalidDocument
+from currantwharf.config.load_document import load_document
 from currantwharf.config.parse_config import parse_config
 from currantwharf.config.problem import Problem
 from currantwharf.config.published_config import PublishedConfig
@@ -26,6 +27,7 @@
     "VersionedConfig",
     "check_references",
     "is_newer",
+    "load_document",
     "parse_config",
     "parse_document",
 ]
--- a/currantwharf/demo/site_plan.py
+++ b/currantwharf/demo/site_plan.py
@@ -1,16 +1,22 @@
 """The plan of a site on loopback: instances, backend servers and their addresses."""
 
+import dataclasses
 from dataclasses import dataclass
+from pathlib import Path
 
 import msgspec
+import yaml
+from result import Result
 
 from currantwharf.config import (
     BackendServer,
     DataCentre,
+    InvalidDocument,
     PublishedConfig,
     RequestClass,
     Service,
     Targets,
+    load_document,
 )
 from currantwharf.fleet import InstanceList, ListedInstance
 from currantwharf.settings import Settings
@@ -28,18 +34,24 @@
     """Say how large a site is.
 
     Each of `services` has `shards` shards with `replicas` replicas, placed in
-    different data centres. `service_ms` is the usual service time.
+    different data centres. `service_ms` is the usual service time and
+    `latency_ms` the target of the lookups, both in milliseconds.
     """
 
     data_centres: tuple[str, ...]
     services: tuple[str, ...]
-    ledgers: tuple[str, ...]
+    ledgers: tuple[str, ...] = ()
     shards: int = 1
     replicas: int = 2
     slots: int = 2
+    batch: int = 1
     instances: int = 3
     service_ms: float = 10.0
+    latency_ms: float = 150.0
+    extra_load: float = 0.05
+    coverage: float = 0.8
     first_port: int = 19000
+    log_level: str = "warning"
 
     @property
     def platform(self) -> str:
@@ -81,13 +93,26 @@
             peer_port=_port(plan, number, 1),
             operator_port=_port(plan, number, 2),
             platform=plan.platform,
-            log_level="warning",
+            log_level=plan.log_level,  # type: ignore[arg-type]
             stop_within_s=20.0,
         )
         for number in range(plan.instances)
     ]
 
 
+def load_plan(path: Path) -> Result[SitePlan, InvalidDocument]:
+    """Read the YAML file of a site's plan and check it whole."""
+    return load_document(SitePlan, path)
+
+
+def write_settings(plan: SitePlan, folder: Path) -> None:
+    """Write the settings file of every instance of the site into `folder`."""
+    for settings in instance_settings(plan):
+        fields = dataclasses.asdict(settings)
+        path = folder / f"{settings.instance}.yaml"
+        path.write_text(yaml.safe_dump(fields, sort_keys=False), encoding="utf-8")
+
+
 def list_of(plan: SitePlan) -> InstanceList:
     """Return the platform's list of the site's instances."""
     instances = {
@@ -118,17 +143,21 @@
         name = f"{shard}-{replica}"
         centre = plan.data_centres[number % len(plan.data_centres)]
         port = plan.first_port + BACKEND_OFFSET + number
-        servers[name] = BackendServer(f"{HOST}:{port}", centre, slots=plan.slots)
+        servers[name] = BackendServer(
+            f"{HOST}:{port}", centre, slots=plan.slots, batch=plan.batch
+        )
         names.append(name)
     return tuple(names)
 
 
 def _classes_of(plan: SitePlan) -> dict[str, RequestClass]:
-    classes = {
-        "grain-lookup": RequestClass(
-            plan.services, Targets(latency_ms=150, coverage=0.8, prefer="latency")
-        ),
-    }
+    lookup = Targets(
+        latency_ms=plan.latency_ms,
+        coverage=plan.coverage,
+        extra_load=plan.extra_load,
+        prefer="latency",
+    )
+    classes = {"grain-lookup": RequestClass(plan.services, lookup)}
     if plan.ledgers:
         classes["warranty-claim"] = RequestClass(
             plan.ledgers, Targets(latency_ms=300, prefer="coverage")
--- a/currantwharf/node/status.py
+++ b/currantwharf/node/status.py
@@ -1,5 +1,6 @@
 """What `status` shows of an instance."""
 
+import resource
 from typing import TYPE_CHECKING
 
 from currantwharf import __version__
@@ -18,6 +19,7 @@
         "version": __version__,
         "data_centre": instance.settings.data_centre,
         "phase": fleet.record.phase,
+        "process": describe_process(),
         "config": {
             "version": config.version if config else 0,
             "index_version": config.config.index_version if config else None,
@@ -46,6 +48,15 @@
     }
 
 
+def describe_process() -> dict[str, float]:
+    """Return the processor time in seconds and the peak memory in MB."""
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return {
+        "cpu_s": used.ru_utime + used.ru_stime,
+        "peak_mb": used.ru_maxrss / 1024,
+    }
+
+
 def _owned(instance: "Instance") -> dict[str, object]:
     return {
         name: {
--- a/tools/check_binary.sh
+++ b/tools/check_binary.sh
@@ -4,13 +4,15 @@
 set -eu
 bin=$1
 binary=$2
-here=examples/kuo-hsing-small
+plan=examples/kuo-hsing-small/site.yaml
+settings=$(mktemp -d)
 "$bin/python" "$binary" --version
-"$bin/currantwharf" standin --site kuo-hsing-small >/dev/null 2>&1 &
+"$bin/python" "$binary" make-site "$plan" "$settings"
+"$bin/currantwharf" standin "$plan" >/dev/null 2>&1 &
 standin=$!
-"$bin/python" "$binary" serve --settings "$here/i0.yaml" &
+"$bin/python" "$binary" serve --settings "$settings/i0.yaml" &
 instance=$!
-trap 'kill $instance $standin 2>/dev/null; wait $instance $standin 2>/dev/null || true' EXIT
+trap 'kill $instance $standin 2>/dev/null; wait $instance $standin 2>/dev/null || true; rm -rf "$settings"' EXIT
 tries=0
 until "$bin/python" "$binary" query grain-lookup longan --deadline-ms 2000 >/dev/null 2>&1; do
   tries=$((tries + 1))
