Provoke the failures of a fleet in a fake world

Cause: dead and paused owners, partitions, cold data centres, outages of the platform, pauses and rolling replacement were designed for but not shown.

Change: 26 tests of whole fleets of 6 to 27 instances over fakes of time, network and platform; graceful stop stands alone so that they can drive it.

--- a/currantwharf/adapters/tests/test_caller_interface.py
+++ b/currantwharf/adapters/tests/test_caller_interface.py
@@ -6,13 +6,13 @@
 import msgspec
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
-from twisted.internet.task import Clock as FakeReactor
 
 from currantwharf.adapters.bounded_site import BODY_S, make_site
 from currantwharf.adapters.caller_body import BODY_LIMIT, parse_caller_request
 from currantwharf.adapters.caller_error import CallerErrorType
 from currantwharf.adapters.caller_server import caller_resource
 from currantwharf.tests.builders import make_body, make_config, make_order, make_plan
+from currantwharf.tests.fake_reactor import FakeReactor
 from currantwharf.tests.fake_world import FakeWorld
 from currantwharf.tests.memory_http import MemoryConnection, make_request
 
--- a/currantwharf/adapters/tests/test_peer_interface.py
+++ b/currantwharf/adapters/tests/test_peer_interface.py
@@ -5,7 +5,6 @@
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from twisted.internet.task import Clock as FakeReactor
 
 from currantwharf.adapters.bounded_site import make_site
 from currantwharf.adapters.peer_server import peer_resource
@@ -17,6 +16,7 @@
     make_plan,
     make_shard_request,
 )
+from currantwharf.tests.fake_reactor import FakeReactor
 from currantwharf.tests.fake_world import FakeWorld
 from currantwharf.tests.memory_http import MemoryConnection, make_request
 from currantwharf.wire import (
--- a/currantwharf/bench/baseline.py
+++ b/currantwharf/bench/baseline.py
@@ -11,6 +11,7 @@
 import msgspec
 from klein import Klein
 from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
+from twisted.internet.task import deferLater
 from twisted.web.server import Request
 
 from currantwharf.adapters.backend_client import BackendClient
@@ -32,6 +33,7 @@
 from currantwharf.settings import Settings
 from currantwharf.wire import Outcome, Reason, ShardAnswer, ShardRequest
 
+RETRY_S = 0.2  # seconds
 CONNECTIONS = 25  # idle connections kept to each backend server
 
 
@@ -49,8 +51,12 @@
     async def load_config(self) -> None:
         """Read the configuration once."""
         platform = PlatformClient(self._reactor, self._settings.platform)
-        found = await platform.watch_config(0, 10)
-        assert found is not None
+        found = None
+        while found is None:
+            try:
+                found = await platform.watch_config(0, 10)
+            except Exception:
+                await deferLater(self._reactor, RETRY_S, lambda: None)
         self._config = parse_config(*found).unwrap()
         for name, declared in self._config.config.servers.items():
             self._clients[name] = BackendClient(
--- a/currantwharf/bench/load.py
+++ b/currantwharf/bench/load.py
@@ -29,6 +29,7 @@
 
     name: str
     seconds: float
+    sent: int = 0
     classes: dict[str, ClassHistograms] = field(default_factory=dict)
     cost: dict[str, float] = field(default_factory=dict)
 
@@ -84,6 +85,7 @@
             wait = intended - self._clock.now()
             if wait > 0:
                 await deferLater(self._reactor, wait, lambda: None)
+            result.sent += 1
             counted = histograms if intended >= counted_from else ClassHistograms()
             sent.append(ensureDeferred(self._send(load, intended, counted)))
         await DeferredList(sent)
--- a/currantwharf/bench/report.py
+++ b/currantwharf/bench/report.py
@@ -16,6 +16,7 @@
         {
             "phase": result.name,
             "seconds": result.seconds,
+            "sent": result.sent,
             "cost": result.cost,
             "classes": {
                 name: histograms.summary()
@@ -63,7 +64,8 @@
 
 def _cost_line(phase: dict[str, Any]) -> str:
     cost = phase["cost"]
-    count = sum(found["count"] for found in phase["classes"].values())
+    # The cost is that of the whole phase, with the time in which it settles.
+    count = phase["sent"]
     each = cost["cpu_ms"] / count if count else 0.0
     runs = cost["backend_runs"] / count if count else 0.0
     return (
--- a/currantwharf/node/serve.py
+++ b/currantwharf/node/serve.py
@@ -7,7 +7,6 @@
 
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.error import CannotListenError
-from twisted.internet.task import deferLater
 
 from currantwharf.adapters.backend_client import BackendClient
 from currantwharf.adapters.bounded_site import make_site
@@ -18,6 +17,7 @@
 from currantwharf.adapters.peer_server import peer_resource
 from currantwharf.adapters.platform_client import PlatformClient
 from currantwharf.node.clock import SystemClock
+from currantwharf.node.graceful_stop import drain
 from currantwharf.node.instance import Instance
 from currantwharf.node.interfaces import Interfaces
 from currantwharf.node.part_log import part_log
@@ -25,8 +25,6 @@
 
 PEER_BODY_LIMIT = 4_000_000  # bytes of one envelope
 OPERATOR_BODY_LIMIT = 1_000  # bytes
-BALANCER_LAG_S = 1.5  # seconds without a caller before a stopping instance closes
-STOP_CHECK_S = 0.1  # seconds
 
 log = part_log("serve")
 
@@ -72,29 +70,9 @@
 
 
 async def _stop(instance: Instance, ports: list[Any], reactor: Any) -> None:
-    """Finish what was begun, within the bound of the settings, and end."""
-    clock = instance.clock
-    give_up_at = clock.now() + instance.settings.stop_within_s
-    stopping_since = clock.now()
-    instance.fleet.stop()
-    log.info("stopping gracefully")
-    while clock.now() < give_up_at:
-        quiet_since = max(stopping_since, instance.idle_since())
-        quiet = clock.now() - quiet_since > BALANCER_LAG_S
-        if quiet and _is_drained(instance):
-            break
-        await deferLater(reactor, STOP_CHECK_S, lambda: None)
+    """Drain the instance, close its ports and end the process."""
+    await drain(instance, reactor)
     for port in ports:
         await port.stopListening()
-    instance.fleet.stopped()
     log.info("stopped")
     reactor.stop()
-
-
-def _is_drained(instance: Instance) -> bool:
-    return (
-        instance.entry.running == 0
-        and instance.owner.idle()
-        and not instance.owner.owned()
-        and instance.post.idle()
-    )
--- /dev/null
+++ b/currantwharf/node/tests/test_failures.py
@@ -0,0 +1,413 @@
+"""Failures of a whole fleet in a fake world; each test provokes one."""
+
+import unittest
+from typing import Any
+
+from twisted.internet.defer import ensureDeferred
+
+from currantwharf.fleet import Phase
+from currantwharf.node.graceful_stop import drain
+from currantwharf.standin import Fault
+from currantwharf.tests.builders import make_body, make_order, make_plan
+from currantwharf.tests.fake_world import FakeWorld, Sent
+from currantwharf.tests.oracle import IN_FORCE_WITHIN_S, OUT_WITHIN_S, Oracle
+from currantwharf.wire import Outcome, Reason
+
+SETTLED_S = 8.0  # seconds until a fresh fleet grants claims
+SERVICE_S = 0.01  # seconds of the stand-ins' service time
+
+
+class FleetTestCase(unittest.TestCase):
+    instances = 9
+
+    def setUp(self) -> None:
+        self.world = FakeWorld(make_plan(self.instances))
+        self.world.advance(SETTLED_S)
+        self.count = 0
+
+    def query(self, name: str, **change: Any) -> Sent:
+        self.count += 1
+        return self.world.send(name, {**make_body(self.count), **change})
+
+    def order(self, name: str, resend: bool = False) -> Sent:
+        self.count += not resend
+        return self.world.send(name, make_order(self.count, self.world.wall(), resend))
+
+    def load(self, seconds: float, gap: float = 0.02) -> list[Sent]:
+        """Send a query every `gap` seconds to the ready instances in turn."""
+        sent = []
+        for turn in range(round(seconds / gap)):
+            ready = sorted(n for n, i in self.world.nodes.items() if i.is_ready())
+            sent.append(self.query(ready[turn % len(ready)]))
+            self.world.advance(gap)
+        return sent
+
+    def assert_answered(self, sent: list[Sent]) -> None:
+        for each in sent:
+            result = each.result
+            self.assertIsNotNone(result, each.body)
+            self.assertIs(result.outcome, Outcome.ANSWERED, result)
+            self.assertTrue(result.coverage.whole, result)
+
+    def owner_of(self, server: str) -> str:
+        instance = self.world.nodes[min(self.world.nodes)]
+        return instance.fleet.owner_of(server, self.world.config)
+
+
+class OwnerTests(FleetTestCase):
+    def test_dead_owner_costs_a_query_no_more_than_a_retry(self) -> None:
+        self.load(1.0)
+        self.world.kill(self.owner_of("camphor-0-0"))
+        sent = self.load(1.0)
+        self.world.advance(1)
+        self.assert_answered(sent)
+
+    def test_paused_owner_costs_a_query_no_more_than_a_hedge(self) -> None:
+        self.load(1.0)
+        paused = self.owner_of("camphor-0-0")
+        entries = [name for name in sorted(self.world.nodes) if name != paused]
+        self.world.pause(paused)
+        sent = []
+        for turn in range(40):
+            sent.append(self.query(entries[turn % len(entries)]))
+            self.world.advance(0.02)
+        self.world.advance(1)
+        self.assert_answered(sent)
+
+    def test_limits_hold_over_all_instances_while_owners_change(self) -> None:
+        for name in ("i1", "i4", "i8"):
+            self.load(0.5, gap=0.004)
+            self.world.kill(name)
+            self.load(0.5, gap=0.004)
+            self.world.start(name)
+        for server, backend in self.world.backends.items():
+            slots = self.world.config.servers[server].slots
+            self.assertLessEqual(backend.stats.peak, slots, server)
+            self.assertLessEqual(backend.stats.cold_peak, 1, server)
+
+    def test_limits_hold_summed_over_both_sides_of_a_partition(self) -> None:
+        self.load(1.0, gap=0.004)
+        self.world.part({"i0", "i1", "i2"})
+        for _ in range(300):
+            for name in ("i0", "i5"):
+                self.query(name)
+            self.world.advance(0.006)
+        self.world.heal()
+        self.load(1.0, gap=0.004)
+        for server, backend in self.world.backends.items():
+            slots = self.world.config.servers[server].slots
+            self.assertLessEqual(backend.stats.peak, slots, server)
+
+    def test_healing_needs_no_operator(self) -> None:
+        self.world.part({"i0", "i1", "i2"}, one_way=True)
+        self.world.advance(20)
+        self.world.heal()
+        self.world.advance(6)
+        self.assert_answered(self.answered_load(1.0))
+
+    def answered_load(self, seconds: float) -> list[Sent]:
+        sent = self.load(seconds)
+        self.world.advance(1)
+        return sent
+
+
+class ColdServerTests(FleetTestCase):
+    def test_data_centre_that_comes_back_cold_is_ramped_up(self) -> None:
+        servers = self.world.config.servers
+        here = [n for n, s in servers.items() if s.data_centre == "taipei"]
+        self.load(1.0, gap=0.004)
+        for server in here:
+            self.world.lose_backend(server)
+        self.load(1.0, gap=0.004)
+        for server in here:
+            self.world.start_backend(server)
+        sent = self.load(4.0, gap=0.004)
+        self.world.advance(1)
+        self.assert_answered(sent[-200:])
+        for server in here:
+            stats = self.world.backends[server].stats
+            self.assertLessEqual(stats.cold_peak, 1, server)
+            self.assertGreater(stats.started, 10, server)
+
+    def test_restart_of_every_instance_overloads_no_cold_server(self) -> None:
+        for server in list(self.world.backends):
+            self.world.lose_backend(server)
+            self.world.start_backend(server)
+        for name in list(self.world.nodes):
+            self.world.kill(name)
+            self.world.start(name)
+        self.world.advance(3)
+        self.load(2.0, gap=0.004)
+        for server, backend in self.world.backends.items():
+            self.assertLessEqual(backend.stats.cold_peak, 1, server)
+
+
+class OutOfServiceTests(FleetTestCase):
+    def work_after(self, began: float, centre: str) -> list[tuple[str, float]]:
+        servers = self.world.config.servers
+        return [
+            (server, at)
+            for server, at in self.world.backend_calls
+            if servers[server].data_centre == centre and at > began + OUT_WITHIN_S
+        ]
+
+    def test_no_instance_sends_work_to_a_data_centre_that_is_out(self) -> None:
+        world = self.world
+        world.pause("i3")
+        world.cut_from_platform.update(world.listed)
+        world.cut_from_platform.discard("i4")
+        began = world.clock.seconds()
+        world.set_data_centre("taipei", False)
+        world.advance(OUT_WITHIN_S)
+        world.resume("i3")
+        sent = [self.query(name) for name in sorted(world.nodes) for _ in range(5)]
+        world.advance(1)
+        self.assertEqual(self.work_after(began, "taipei"), [])
+        self.assert_answered([each for each in sent if not each.refused])
+
+    def test_leaving_server_gets_no_work_by_any_sign(self) -> None:
+        by_list, by_config, by_answer = "camphor-0-0", "longan-0-0", "longan-0-1"
+        self.world.publish_list((by_list,))
+        self.world.set_leaving(by_config)
+        self.world.backends[by_answer].fault = Fault(draining=True)
+        self.load(OUT_WITHIN_S)
+        seen = len(self.world.backend_calls)
+        sent = self.load(2.0)
+        self.world.advance(1)
+        later = {server for server, _ in self.world.backend_calls[seen:]}
+        self.assertEqual(later, {"camphor-0-1"})
+        for each in sent:
+            self.assertEqual(each.result.coverage.answered, 1)
+
+
+class ConfigurationTests(FleetTestCase):
+    def versions(self) -> set[int]:
+        return {n.held_config().version for n in self.world.nodes.values()}
+
+    def test_change_is_in_force_everywhere_in_seconds(self) -> None:
+        self.world.set_data_centre("taipei", False)
+        self.world.advance(IN_FORCE_WITHIN_S)
+        self.assertEqual(self.versions(), {2})
+
+    def test_peers_carry_a_change_that_one_instance_could_read(self) -> None:
+        self.world.cut_from_platform.update(set(self.world.listed) - {"i4"})
+        self.world.set_data_centre("taipei", False)
+        # A watch that began before the cut may still bring the change.
+        self.world.advance(IN_FORCE_WITHIN_S + 1)
+        self.assertEqual(self.versions(), {2})
+
+    def test_restored_old_copy_reverts_nothing(self) -> None:
+        self.world.set_data_centre("taipei", False)
+        self.world.advance(IN_FORCE_WITHIN_S)
+        value = self.world.platform.values["config"]
+        value.publish(value.document, version=1)
+        for name in [n for n in self.world.nodes if n != "i5"]:
+            self.world.kill(name)
+            self.world.start(name)
+            self.world.advance(0.5)
+        self.world.advance(IN_FORCE_WITHIN_S)
+        self.assertEqual(self.versions(), {2})
+
+    def test_service_down_for_an_hour_stops_changes_not_service(self) -> None:
+        self.world.platform.down = True
+        self.world.advance(60)
+        for name in ("i0", "i1", "i2"):
+            self.world.kill(name)
+            self.world.start(name)
+        self.world.advance(10)
+        sent = self.load(1.0)
+        order = self.order("i5")
+        self.world.advance(1)
+        self.assert_answered([*sent, order])
+
+    def test_invalid_configuration_is_refused_and_told(self) -> None:
+        self.world.platform.values["config"].publish(b'{"index_version": 5}')
+        self.world.advance(IN_FORCE_WITHIN_S)
+        self.assertEqual(self.versions(), {1})
+        refused = [n.status()["config"]["refused"] for n in self.world.nodes.values()]
+        self.assertTrue(any("index_version" in text for text in refused))
+        self.world.set_data_centre("taipei", False)
+        self.world.advance(IN_FORCE_WITHIN_S)
+        self.assertEqual(self.versions(), {3})
+
+    def test_calls_to_the_platform_do_not_grow_with_the_fleet(self) -> None:
+        calls = []
+        for size in (9, 27):
+            world = FakeWorld(make_plan(size))
+            world.advance(30)
+            before = sum(n.fleet.platform_calls for n in world.nodes.values())
+            world.advance(60)
+            after = sum(n.fleet.platform_calls for n in world.nodes.values())
+            calls.append(after - before)
+        self.assertEqual(calls[0], calls[1])
+        self.assertLessEqual(calls[1], 60)
+
+
+class PauseTests(FleetTestCase):
+    def test_woken_instance_sends_nothing_on_old_belief(self) -> None:
+        for seconds in (1.0, 5.0, 60.0):
+            sent = [self.query("i0") for _ in range(5)]
+            self.world.pause("i0")
+            self.world.advance(seconds)
+            seen = len(self.world.backend_calls)
+            self.world.resume("i0")
+            instance = self.world.nodes["i0"]
+            self.assertIs(instance.fleet.record.phase, Phase.RELEARNING)
+            self.assertEqual(len(self.world.backend_calls), seen)
+            for each in sent:
+                self.assertIsNotNone(each.result)
+            self.world.advance(3)
+            self.assertIs(instance.fleet.record.phase, Phase.READY)
+
+    def test_woken_instance_that_hears_nobody_stays_out(self) -> None:
+        self.world.pause("i0")
+        self.world.part({"i0"})
+        self.world.cut_from_platform.add("i0")
+        self.world.advance(5)
+        self.world.resume("i0")
+        self.world.advance(10)
+        self.assertTrue(self.query("i0").refused)
+        self.world.heal()
+        self.world.advance(5)
+        self.assertFalse(self.query("i0").refused)
+
+
+class OrderTests(FleetTestCase):
+    instances = 6
+
+    def runs(self, sent: Sent) -> int:
+        order = sent.body["id"]
+        return sum(runs.get(order, 0) for runs in self.world.runs())
+
+    def test_resend_through_any_instance_gets_the_first_answer(self) -> None:
+        first = self.order("i0")
+        self.world.advance(1)
+        for name in sorted(self.world.nodes):
+            again = self.order(name, resend=True)
+            self.world.advance(0.2)
+            self.assertTrue(again.result.duplicate)
+            self.assertEqual(again.result.hits, first.result.hits)
+        self.assertEqual(self.runs(first), 1)
+
+    def test_entry_that_dies_leaves_no_second_run(self) -> None:
+        for steps in range(1, 30, 4):
+            with self.subTest(steps=steps):
+                name = min(self.world.nodes)
+                first = self.order(name)
+                self.world.advance(0.002 * steps)
+                self.world.kill(name)
+                again = self.order(max(self.world.nodes), resend=True)
+                self.world.advance(1.2)
+                self.assertLessEqual(self.runs(first), 1)
+                if again.result.outcome is Outcome.NOT_RUN:
+                    self.assertEqual(self.runs(first), 0)
+                self.world.start(name)
+                self.world.advance(SETTLED_S)
+
+    def test_partition_gives_no_second_run(self) -> None:
+        for steps in range(0, 12, 2):
+            first = self.order("i0")
+            self.world.advance(0.002 * steps)
+            self.world.part({"i0", "i1", "i2"})
+            for name in ("i1", "i5"):
+                self.order(name, resend=True)
+            self.world.advance(1.5)
+            self.world.heal()
+            self.world.advance(6)
+            self.assertLessEqual(self.runs(first), 1)
+
+    def test_paused_entry_gives_no_second_run(self) -> None:
+        for steps in range(0, 12, 2):
+            first = self.order("i0")
+            self.world.advance(0.002 * steps)
+            self.world.pause("i0")
+            self.world.advance(30)
+            self.order("i5", resend=True)
+            self.world.advance(1)
+            self.world.resume("i0")
+            self.world.advance(3)
+            self.assertLessEqual(self.runs(first), 1)
+
+    def test_server_lost_under_an_order_is_unknown(self) -> None:
+        first = self.order("i0")
+        while not self.runs(first):
+            self.world.advance(0.002)
+        for server in list(self.world.backends):
+            self.world.lose_backend(server)
+        self.world.advance(1.2)
+        self.assertIs(first.result.outcome, Outcome.UNKNOWN)
+
+    def test_id_with_another_body_is_refused(self) -> None:
+        first = self.order("i0")
+        self.world.advance(1)
+        other = {**first.body, "body": {"id": "else"}, "resend": True}
+        sent = self.world.send("i4", other)
+        self.world.advance(1)
+        self.assertIs(sent.result.reason, Reason.ID_REUSED)
+
+
+class StopTests(FleetTestCase):
+    instances = 6
+
+    def replace(self, name: str) -> list[Sent]:
+        """Stop one instance gracefully under load, then start it again."""
+        instance = self.world.nodes[name]
+        ended: list[bool] = []
+        drained = ensureDeferred(drain(instance, self.world.reactors[name]))
+        drained.addCallback(ended.append)
+        sent = []
+        while not ended:
+            # The balancer lags: for a second it still sends callers here.
+            if len(sent) < 10:
+                sent.append(self.query(name))
+            sent.extend(self.load(0.1))
+        self.assertEqual(ended, [True])
+        self.assertIs(instance.fleet.record.phase, Phase.STOPPED)
+        self.world.kill(name)
+        self.world.start(name)
+        sent.extend(self.load(1.0))
+        return sent
+
+    def test_rolling_replacement_of_all_fails_no_request(self) -> None:
+        sent = self.load(1.0)
+        for name in sorted(self.world.nodes):
+            sent.extend(self.replace(name))
+            order = self.order(min(self.world.nodes))
+            sent.extend(self.load(0.5))
+            self.assertIsNotNone(order.result)
+        self.world.advance(1)
+        self.assert_answered(sent)
+        for server, backend in self.world.backends.items():
+            slots = self.world.config.servers[server].slots
+            self.assertLessEqual(backend.stats.peak, slots, server)
+
+    def test_stop_ends_at_its_bound(self) -> None:
+        for backend in self.world.backends.values():
+            backend.fault = Fault(silent=True)
+        self.query("i0", deadline_ms=60000)
+        ended: list[bool] = []
+        instance = self.world.nodes["i0"]
+        drained = ensureDeferred(drain(instance, self.world.reactors["i0"]))
+        drained.addCallback(ended.append)
+        self.world.advance(instance.settings.stop_within_s + 1)
+        self.assertEqual(ended, [False])
+
+
+class SnapshotTests(FleetTestCase):
+    def test_versions_that_change_under_load_are_never_mixed(self) -> None:
+        oracle = Oracle(self.world)
+        oracle.note_index()
+        sent = []
+        for number in range(2, 6):
+            for backend in self.world.backends.values():
+                backend.index_versions = {f"index-{number - 1}", f"index-{number}"}
+            self.world.set_index(f"index-{number}")
+            oracle.note_index()
+            sent.extend(self.load(0.6))
+            for backend in self.world.backends.values():
+                backend.index_versions = {f"index-{number}"}
+            sent.extend(self.load(0.6))
+        self.world.advance(1)
+        self.assert_answered(sent)
+        for each in sent:
+            oracle.check_lookup(each, each.result)
--- a/currantwharf/tests/fake_node.py
+++ b/currantwharf/tests/fake_node.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.task import Clock as FakeReactor
+from currantwharf.tests.fake_reactor import FakeReactor
 
 START_WALL = 1_700_000_000.0  # Unix time at which a fake world begins
 
--- a/currantwharf/tests/fake_world.py
+++ b/currantwharf/tests/fake_world.py
@@ -11,7 +11,6 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
-from twisted.internet.task import Clock as FakeReactor
 from twisted.internet.task import deferLater
 
 from currantwharf.adapters.caller_body import parse_caller_request
@@ -25,8 +24,8 @@
 from currantwharf.tests.builders import make_settings
 from currantwharf.tests.fake_calls import FakeBackend, FakePeers, FakePlatform
 from currantwharf.tests.fake_node import START_WALL, NodeClock, NodeReactor
+from currantwharf.tests.fake_reactor import FakeReactor
 
-STEP_S = 0.002  # seconds of one step of the world
 SERVICE_MS = 10.0  # milliseconds
 
 
@@ -77,6 +76,11 @@
         centres[name] = replace(centres[name], in_service=in_service)
         self.publish(replace(self.config, data_centres=centres))
 
+    def set_leaving(self, server: str) -> None:
+        servers = dict(self.config.servers)
+        servers[server] = replace(servers[server], leaving=True)
+        self.publish(replace(self.config, servers=servers))
+
     def set_index(self, version: str) -> None:
         self.publish(replace(self.config, index_version=version))
 
@@ -143,8 +147,7 @@
         return paused or cut or self.platform.down
 
     def advance(self, seconds: float) -> None:
-        for _ in range(max(1, round(seconds / STEP_S))):
-            self.clock.advance(STEP_S)
+        self.clock.advance(seconds)
 
     def pass_time(self, seconds: float, name: str) -> "Deferred[None]":
         return deferLater(self.reactors[name], seconds, lambda: None)
--- a/currantwharf/tests/test_interfaces.py
+++ b/currantwharf/tests/test_interfaces.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import msgspec
-from twisted.internet.task import Clock as FakeReactor
 
 from currantwharf.adapters.bounded_site import make_site
 from currantwharf.adapters.caller_server import caller_resource
@@ -15,6 +14,7 @@
 from currantwharf.standin import backend_resource, platform_resource
 from currantwharf.tests.builders import make_plan
 from currantwharf.tests.fake_node import NodeClock
+from currantwharf.tests.fake_reactor import FakeReactor
 from currantwharf.tests.fake_world import FakeWorld
 from currantwharf.tests.memory_http import MemoryConnection, make_request
 
