Let a timer of the fake reactor be put off

Cause: a timer that was reset to a later time was dropped by the fake reactor, so a query without a replica never ended in the test of leaving servers. Ruled out: the query's own wakes, whose times were right. Change: the timer is put back at its new time.

--- a/currantwharf/node/tests/test_failures.py
+++ b/currantwharf/node/tests/test_failures.py
@@ -173,7 +173,7 @@
         self.load(OUT_WITHIN_S)
         seen = len(self.world.backend_calls)
         sent = self.load(2.0)
-        self.world.advance(1)
+        self.world.advance(1.1)
         later = {server for server, _ in self.world.backend_calls[seen:]}
         self.assertEqual(later, {"camphor-0-1"})
         for each in sent:
--- a/currantwharf/tests/fake_reactor.py
+++ b/currantwharf/tests/fake_reactor.py
@@ -30,7 +30,11 @@
         end = self._now + seconds
         while self._heap and self._heap[0][0] <= end:
             at, _, timer = heapq.heappop(self._heap)
-            if timer.cancelled or timer.called or timer.getTime() != at:
+            if timer.cancelled or timer.called:
+                continue
+            if timer.getTime() > at:
+                # A timer that was put off does not tell of it.
+                self._push(timer)
                 continue
             self._now = at
             timer.called = 1
