--- a/currantwharf/fleet/membership.py
+++ b/currantwharf/fleet/membership.py
@@ -37,6 +37,7 @@
         self._rng = rng
         self._round: list[str] = []
         self._news: dict[str, int] = {}
+        self._suspected: set[str] = set()
 
     def take_list(self, listed: InstanceList, now: float) -> bool:
         """Adopt a list with a higher revision; return whether it was adopted."""
@@ -46,6 +47,7 @@
         for name in [name for name in self.members if name not in listed.instances]:
             del self.members[name]
             self._news.pop(name, None)
+            self._suspected.discard(name)
         self._round.clear()
         self.changes += 1
         return True
@@ -110,9 +112,9 @@
 
     def tick(self, now: float) -> str | None:
         """Turn old suspicions into deaths and return the peer to probe, if any."""
-        for name, member in list(self.members.items()):
-            waited = now - member.changed_at
-            if member.state is MemberState.SUSPECTED and waited >= SUSPICION_S:
+        for name in sorted(self._suspected):
+            member = self.members[name]
+            if now - member.changed_at >= SUSPICION_S:
                 dead = replace(member, state=MemberState.DEAD, changed_at=now)
                 self._replace(name, member, dead)
         if not self._round:
@@ -175,6 +177,10 @@
             self._news[name] = 0
             self.changes += 1
         self.members[name] = member
+        if member.state is MemberState.SUSPECTED:
+            self._suspected.add(name)
+        else:
+            self._suspected.discard(name)
 
     def _count_send(self, name: str) -> None:
         self._news[name] += 1
--- a/currantwharf/node/entry_task.py
+++ b/currantwharf/node/entry_task.py
@@ -29,6 +29,7 @@
 )
 from currantwharf.wire import ClaimReply, Outcome, Reason, ShardAnswer, ShardRequest
 
+TIMER_SLACK_S = 0.0005  # seconds, so that a timer never fires just before its time
 MOST_RUNNING = 2000  # requests under way in one instance
 
 log = part_log("entry")
@@ -44,6 +45,7 @@
     done: "Deferred[QueryResult]"
     started_at: float
     timer: Any = None
+    wake_at: float = 0.0
 
 
 class EntryTask:
@@ -197,8 +199,13 @@
 
     def _set_timer(self, entry: Entry) -> None:
         now = self._clock.now()
-        delay = max(0.0, entry.running.next_wake(now) - now) + 0.0005
-        if entry.timer is not None and entry.timer.active():
+        wake_at = entry.running.next_wake(now)
+        pending = entry.timer is not None and entry.timer.active()
+        if pending and wake_at == entry.wake_at:
+            return
+        entry.wake_at = wake_at
+        delay = wake_at - now + TIMER_SLACK_S
+        if pending:
             entry.timer.reset(delay)
         else:
             entry.timer = self._reactor.callLater(delay, self._wake, entry)
--- a/currantwharf/query/running_query.py
+++ b/currantwharf/query/running_query.py
@@ -61,12 +61,14 @@
         self._restarts = 0
         self._finished = False
         self._last_reason = Reason.NO_REPLICA
+        self._wake_at = request.deadline
         self._pin()
 
     def start(self, now: float) -> list[QueryAction]:
         """Ask every shard of the pinned map."""
         actions: list[QueryAction] = []
         self._controller.budget.add_sends(len(self._shards), now)
+        self._wake_at = self._answer_time(now)
         for name in self._shards:
             self._send(name, now, actions, extra=False)
         return actions
@@ -77,21 +79,11 @@
         return self._finished
 
     def next_wake(self, now: float) -> float:
-        """Return when `wake` is due next, in seconds of the monotonic clock."""
-        policy = self._controller.policy(now)
-        times = [self.request.deadline]
-        if policy.answer_after_s is not None:
-            answer_at = self._started_at + policy.answer_after_s
-            if answer_at > now:
-                times.append(answer_at)
-        for shard in self._open_shards():
-            if shard.retry_at is not None:
-                times.append(shard.retry_at)
-            elif not shard.hedged and len(shard.servers) > 1:
-                times.extend(
-                    a.sent_at + policy.hedge_after_s for a in shard.attempts.values()
-                )
-        return max(min(times), now)
+        """Return when `wake` is due next, in seconds of the monotonic clock.
+
+        An answer never makes it earlier, so it is not worked out anew for each.
+        """
+        return max(min(self._wake_at, self.request.deadline), now)
 
     def wake(self, now: float) -> list[QueryAction]:
         """Hedge, retry or answer, as the time has come for."""
@@ -101,6 +93,7 @@
             return self._finish()
         actions: list[QueryAction] = []
         hedge_after = self._controller.policy(now).hedge_after_s
+        self._wake_at = self._answer_time(now)
         for name, shard in self._shards.items():
             if shard.hits is not None:
                 continue
@@ -108,8 +101,24 @@
                 self._retry(name, now, actions)
             elif self._should_hedge(shard, hedge_after, now):
                 self._hedge(name, now, actions)
+            self._note_wake(shard, hedge_after)
         return actions
 
+    def _answer_time(self, now: float) -> float:
+        """Return when an incomplete answer may go out, if that is still to come."""
+        answer_after = self._controller.policy(now).answer_after_s
+        if answer_after is None or self._started_at + answer_after <= now:
+            return self.request.deadline
+        return self._started_at + answer_after
+
+    def _note_wake(self, shard: ShardProgress, hedge_after: float) -> None:
+        """Wake no later than the shard's next retry or hedge."""
+        if shard.retry_at is not None:
+            self._wake_at = min(self._wake_at, shard.retry_at)
+        elif not shard.hedged and len(shard.servers) > 1:
+            for attempt in shard.attempts.values():
+                self._wake_at = min(self._wake_at, attempt.sent_at + hedge_after)
+
     @singledispatchmethod
     def receive(
         self, message: ShardAnswer | DeliveryFailed, now: float
@@ -159,6 +168,7 @@
             name: ShardProgress(servers)
             for name, servers in self._snapshot.shards.items()
         }
+        self._answered = 0
 
     def _open_shards(self) -> list[ShardProgress]:
         return [shard for shard in self._shards.values() if shard.hits is None]
@@ -180,6 +190,7 @@
         self._extras += extra
         self._router.stats.on_send(route.server)
         actions.append(SendToOwner(route.owner, self._shard_request(name, route, now)))
+        self._note_wake(shard, self._controller.policy(now).hedge_after_s)
         return True
 
     def _find_route(self, shard: ShardProgress, now: float) -> Route | None:
@@ -234,6 +245,7 @@
         wait = RETRY_WAIT_S * 2**shard.sends * self._rng.uniform(0.5, 1.5)
         shard.retry_at = now + wait
         shard.retry_is_extra = extra
+        self._wake_at = min(self._wake_at, shard.retry_at)
 
     def _on_answered(
         self, shard: ShardProgress, attempt: Attempt, message: ShardAnswer, now: float
@@ -247,8 +259,9 @@
         self._router.stats.on_end(attempt.server)
         del shard.attempts[message.attempt]
         shard.hits = message.hits
+        self._answered += 1
         actions = self._cancel_attempts(shard, now)
-        if not self._open_shards() or self._may_answer_now(now):
+        if self._answered == len(self._shards) or self._may_answer_now(now):
             actions.extend(self._finish())
         return actions
 
@@ -314,8 +327,7 @@
         return self._coverage().share >= self._controller.targets.coverage
 
     def _coverage(self) -> Coverage:
-        answered = sum(1 for s in self._shards.values() if s.hits is not None)
-        return Coverage(answered, len(self._shards))
+        return Coverage(self._answered, len(self._shards))
 
     def _finish_if_hopeless(self) -> list[QueryAction]:
         """Answer early when no open shard has an attempt or a retry left."""
--- a/currantwharf/tests/fake_calls.py
+++ b/currantwharf/tests/fake_calls.py
@@ -18,6 +18,12 @@
 PEER_TIMEOUT_S = 2.0  # seconds
 
 
+def settle_once(done: "Deferred[Any]", call: Any, value: Any) -> None:
+    """Give a call its answer or its end, whichever comes first."""
+    if not done.called:
+        call(value)
+
+
 class FakePeers:
     """Carry calls between the instances of a fake world."""
 
@@ -48,7 +54,7 @@
         caller, callee = world.reactors[self._name], world.reactors[address]
 
         def settle(call: Any, value: Any) -> None:
-            caller.run(lambda: done.called or call(value))
+            caller.run(settle_once, done, call, value)
 
         def answer() -> None:
             if address not in world.nodes:
@@ -130,7 +136,7 @@
         caller = world.reactors[self._caller]
 
         def settle(result: CallResult) -> None:
-            caller.run(lambda: done.called or done.callback(result))
+            caller.run(settle_once, done, done.callback, result)
 
         items = [backend.submit(work, started) for work in works]
         assert len(items) == 1, "the fake carries one request in a call"
--- a/currantwharf/tests/fake_world.py
+++ b/currantwharf/tests/fake_world.py
@@ -150,7 +150,8 @@
         self.clock.advance(seconds)
 
     def pass_time(self, seconds: float, name: str) -> "Deferred[None]":
-        return deferLater(self.reactors[name], seconds, lambda: None)
+        reactor: Any = self.reactors[name]
+        return deferLater(reactor, seconds, lambda: None)
 
     def send(self, name: str, body: dict[str, Any]) -> "Sent":
         """Send a caller's request to an instance, as its interface would."""
