Hold requests that crash the servers which run them

Cause: a request that kills its server was retried at the next replica by every instance that it entered through, without end.

Change: owners count the losses for each fingerprint and shard, tell the owners of the other replicas at once and all others by heartbeat; after two losses the request is refused as quarantined until the records are ten minutes old or an operator publishes its fingerprint as released. An answer clears a single loss, so a lost rack holds no innocent request. Status shows what is held.

Conclusion: recognised by what it asks; the bound is the shard's replicas.

--- a/currantwharf/cli/status_command.py
+++ b/currantwharf/cli/status_command.py
@@ -42,6 +42,8 @@
     for name, member in sorted(state["members"].items()):
         ready = "ready" if member["ready"] else "not ready"
         lines.append(f"peer {name}: {member['state']}, {ready}")
+    for key in state["held_requests"]:
+        lines.append(f"held, since servers were lost to it: {key}")
     for name, server in sorted(state["owned_servers"].items()):
         lines.append(
             f"server {name}: {server['condition']}, limit {server['limit']} of "
--- a/currantwharf/node/fleet_task.py
+++ b/currantwharf/node/fleet_task.py
@@ -157,7 +157,7 @@
         self._life.stop()
         self._note_phase()
         for peer in self._near_peers():
-            self._probe(peer)
+            self.probe(peer)
 
     def stopped(self) -> None:
         """Note that nothing is left to finish."""
@@ -170,12 +170,13 @@
             self._next_probe = now + HEARTBEAT_S
             peer = self.membership.tick(now)
             if peer is not None:
-                self._probe(peer)
+                self.probe(peer)
             self._note_changes()
         if self.record.phase is not Phase.STOPPED:
             self._reactor.callLater(TICK_S, self._tick)
 
-    def _probe(self, peer: str) -> None:
+    def probe(self, peer: str) -> None:
+        """Send a heartbeat to a peer now."""
         heartbeat = self.membership.heartbeat(self.standing())
         self._listener.send_heartbeat(peer, heartbeat)
 
@@ -218,7 +219,7 @@
                 self._life.heard()
                 self._note_phase()
                 for peer in self._near_peers():
-                    self._probe(peer)
+                    self.probe(peer)
                 return
             await deferLater(self._reactor, RETRY_S, lambda: None)
 
@@ -349,4 +350,4 @@
         """Tell a few peers at once; each of them tells a few more."""
         peers = self.membership.peers()
         for peer in self._rng.sample(peers, min(PUSH_TO, len(peers))):
-            self._probe(peer)
+            self.probe(peer)
--- a/currantwharf/node/instance.py
+++ b/currantwharf/node/instance.py
@@ -1,6 +1,7 @@
 """One instance: the tasks wired together, and its three interfaces."""
 
 import random
+from dataclasses import replace
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -96,6 +97,7 @@
             self.post,
             interfaces.make_backend,
             self.recorder,
+            self._tell_of_crash,
         )
         self._last_caller_at = clock.now()
 
@@ -184,6 +186,7 @@
     def on_fleet_change(self) -> None:
         """Take up and let go of servers after a change in the fleet."""
         if self.fleet.config is not None:
+            self.owner.crashes.release(self.fleet.config.config.released)
             cut_off = not self.fleet.owners.sees_majority()
             self.owner.sync(self.fleet.config, cut_off and self.is_ready())
 
@@ -199,7 +202,8 @@
 
     def send_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
         """Send a heartbeat with the other messages for that peer."""
-        self.post.send(peer, heartbeat)
+        crashes = self.owner.crashes.news(self.clock.now())
+        self.post.send(peer, replace(heartbeat, crashes=crashes))
 
     def idle_since(self) -> float:
         """Return when the last caller's request came, on the monotonic clock."""
@@ -217,6 +221,7 @@
         elif isinstance(message, ClaimResult):
             self.claims.finish(message)
         elif isinstance(message, Heartbeat):
+            self.owner.crashes.take_news(message.crashes, self.clock.now())
             self.fleet.on_heartbeat(message)
 
     def _owner_of(self, server: str) -> str | None:
@@ -225,5 +230,17 @@
             return None
         return self.fleet.owner_of(server, config.config)
 
+    def _tell_of_crash(self, request: ShardRequest) -> None:
+        """Tell the owners of the shard's other replicas at once."""
+        config = self.fleet.config
+        if config is None:
+            return
+        service, _, shard = request.shard.partition("/")
+        declared = config.config.services.get(service)
+        servers = declared.shards.get(shard, ()) if declared else ()
+        owners = {self._owner_of(server) for server in servers}
+        for owner in owners - {None, self.settings.instance}:
+            self.fleet.probe(str(owner))
+
     def _is_listed_as_leaving(self, server: str) -> bool:
         return self.fleet.membership.list.servers.get(server) == "leaving"
--- a/currantwharf/node/owner_task.py
+++ b/currantwharf/node/owner_task.py
@@ -18,12 +18,14 @@
     Abort,
     CallFailed,
     CallResult,
+    CrashTable,
     Dispatch,
     GateAction,
     Refuse,
     ServerGate,
     WakeAt,
     answers_for,
+    crash_key,
     refusal,
 )
 from currantwharf.query import Router
@@ -52,7 +54,9 @@
         post: Post,
         make_client: Callable[[BackendServer], BackendCalls],
         recorder: Recorder,
+        on_crash: Callable[[ShardRequest], None],
     ) -> None:
+        self._on_crash = on_crash
         self._reactor = reactor
         self._clock = clock
         self._name = name
@@ -61,6 +65,7 @@
         self._post = post
         self._make_client = make_client
         self._recorder = recorder
+        self.crashes = CrashTable()
         self._owned: dict[str, OwnedServer] = {}
         self._senders: dict[tuple[str, int], str] = {}
 
@@ -107,8 +112,12 @@
         if owned is None or owned.released:
             self._post.send(sender, refusal(message, Reason.NOT_OWNER))
             return
+        now = self._clock.now()
+        if self.crashes.is_held(crash_key(message), now):
+            self._post.send(sender, refusal(message, Reason.QUARANTINED))
+            return
         self._senders[message.query, message.attempt] = sender
-        self._perform(owned, owned.gate.submit(message, self._clock.now()))
+        self._perform(owned, owned.gate.submit(message, now))
 
     @_on_message.register
     def _(self, message: Cancel, sender: str) -> None:
@@ -201,7 +210,7 @@
         result: CallResult = await owned.client.ask(dispatch.requests)
         now = self._clock.now()
         if isinstance(result, CallFailed):
-            self._note_failure(owned, result)
+            self._note_failure(owned, dispatch, result, now)
         actions = owned.gate.finish(dispatch.call, result, now)
         self._recorder.count("backend_calls")
         queue = owned.gate.queue_length
@@ -211,11 +220,16 @@
                 self._post.send(sender, answer)
             if answer.outcome is not Outcome.ANSWERED:
                 self._recorder.count(f"backend_{answer.reason}")
+        if not isinstance(result, CallFailed):
+            for request in dispatch.requests:
+                self.crashes.note_answer(crash_key(request))
         owned.busy_s += now - started
         self._perform(owned, actions)
         self._hand_over_if_idle(owned)
 
-    def _note_failure(self, owned: OwnedServer, failed: CallFailed) -> None:
+    def _note_failure(
+        self, owned: OwnedServer, dispatch: Dispatch, failed: CallFailed, now: float
+    ) -> None:
         log.warning(
             "a call to a backend server failed",
             extra={
@@ -224,3 +238,9 @@
                 "timed_out": failed.timed_out,
             },
         )
+        if not failed.sent or failed.timed_out:
+            return
+        boot = f"{owned.gate.server}/{owned.gate.limit.boot_id}"
+        for request in dispatch.requests:
+            self.crashes.note_loss(crash_key(request), boot, now)
+            self._on_crash(request)
--- a/currantwharf/node/tests/test_failures.py
+++ b/currantwharf/node/tests/test_failures.py
@@ -1,14 +1,17 @@
 """Failures of a whole fleet in a fake world; each test provokes one."""
 
 import unittest
+from dataclasses import replace
 from typing import Any
 
 from twisted.internet.defer import ensureDeferred
 
 from currantwharf.fleet import Phase
 from currantwharf.node.graceful_stop import drain
+from currantwharf.owner import fingerprint_of
 from currantwharf.standin import Fault
 from currantwharf.tests.builders import make_body, make_order, make_plan
+from currantwharf.tests.fake_calls import CRASH
 from currantwharf.tests.fake_world import FakeWorld, Sent
 from currantwharf.tests.oracle import IN_FORCE_WITHIN_S, OUT_WITHIN_S, Oracle
 from currantwharf.wire import Outcome, Reason
@@ -346,6 +349,84 @@
         self.assertIs(sent.result.reason, Reason.ID_REUSED)
 
 
+class CrashingRequestTests(FleetTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.lost = 0
+        lose = self.world.lose_backend
+
+        def count_and_lose(server: str) -> None:
+            self.lost += server in self.world.backends
+            lose(server)
+
+        self.world.lose_backend = count_and_lose
+
+    def send_crashes(self, rounds: int) -> list[Sent]:
+        sent = []
+        for _ in range(rounds):
+            for name in sorted(self.world.nodes):
+                sent.append(self.query(name, body={"text": CRASH}))
+            self.world.advance(0.7)
+            for server in self.world.config.servers:
+                if server not in self.world.backends:
+                    self.world.start_backend(server)
+        return sent
+
+    def shards(self) -> int:
+        config = self.world.config
+        services = config.classes["grain-lookup"].services
+        return sum(len(config.services[name].shards) for name in services)
+
+    def test_few_servers_are_lost_however_often_it_comes(self) -> None:
+        sent = self.send_crashes(10)
+        self.world.advance(2)
+        # Each shard has two replicas; a request that kills both is then held.
+        self.assertLessEqual(self.lost, 2 * self.shards())
+        self.assertIs(sent[-1].result.reason, Reason.QUARANTINED)
+
+    def test_others_of_the_class_go_on(self) -> None:
+        self.send_crashes(4)
+        self.world.advance(6)
+        sent = self.load(1.0)
+        self.world.advance(1)
+        self.assert_answered(sent)
+
+    def test_instance_that_joins_later_knows(self) -> None:
+        self.send_crashes(4)
+        self.world.advance(6)
+        lost = self.lost
+        for name in list(self.world.nodes):
+            self.world.kill(name)
+            self.world.start(name)
+            self.world.advance(6)
+        self.send_crashes(2)
+        self.assertEqual(self.lost, lost)
+
+    def test_operator_sees_it_and_releases_it(self) -> None:
+        self.send_crashes(4)
+        self.world.advance(6)
+        held = self.world.nodes["i0"].status()["held_requests"]
+        self.assertEqual(len(held), self.shards())
+        fingerprints = tuple({fingerprint_of(key) for key in held})
+        self.world.publish(replace(self.world.config, released=fingerprints))
+        self.world.advance(6)
+        for node in self.world.nodes.values():
+            self.assertEqual(node.status()["held_requests"], [])
+
+    def test_lost_rack_holds_no_innocent_request(self) -> None:
+        self.load(1.0)
+        for server in ("camphor-0-0", "longan-0-1"):
+            self.query("i0", body={"text": "popular"})
+            self.world.advance(0.006)
+            self.world.lose_backend(server)
+            for _ in range(10):
+                self.query("i4", body={"text": "popular"})
+                self.world.advance(0.05)
+        sent = self.query("i1", body={"text": "popular"})
+        self.world.advance(1)
+        self.assert_answered([sent])
+
+
 class StopTests(FleetTestCase):
     instances = 6
 
--- a/currantwharf/once/running_order.py
+++ b/currantwharf/once/running_order.py
@@ -211,7 +211,7 @@
     def _send_again(self, reason: Reason, now: float) -> list[QueryAction]:
         """Send once more after a proof that the last send did not run."""
         self._sent = None
-        if self._sends >= MOST_SENDS:
+        if self._sends >= MOST_SENDS or reason is Reason.QUARANTINED:
             return self._refuse(reason)
         return self._send(now)
 
--- a/currantwharf/owner/__init__.py
+++ b/currantwharf/owner/__init__.py
@@ -9,6 +9,7 @@
     ItemOutcome,
 )
 from currantwharf.owner.condition import Condition
+from currantwharf.owner.crash_table import CrashTable, crash_key, fingerprint_of
 from currantwharf.owner.limit import ServerLimit
 from currantwharf.owner.server_gate import TAKEOVER_WAIT_S, ServerGate
 from currantwharf.owner.shard_answers import answers_for, refusal
@@ -21,6 +22,7 @@
     "CallFailed",
     "CallResult",
     "Condition",
+    "CrashTable",
     "Dispatch",
     "GateAction",
     "ItemOutcome",
@@ -29,5 +31,7 @@
     "ServerLimit",
     "WakeAt",
     "answers_for",
+    "crash_key",
+    "fingerprint_of",
     "refusal",
 ]
--- a/currantwharf/query/running_query.py
+++ b/currantwharf/query/running_query.py
@@ -33,7 +33,9 @@
 MOST_RESTARTS = 1  # restarts of the whole query on a newer index version
 
 SNAPSHOT_REASONS = frozenset({Reason.VERSION_GONE, Reason.SHARD_MOVED})
-BLAMELESS_REASONS = frozenset({Reason.NOT_OWNER, Reason.OVERLOADED, *SNAPSHOT_REASONS})
+BLAMELESS_REASONS = frozenset(
+    {Reason.NOT_OWNER, Reason.OVERLOADED, Reason.QUARANTINED, *SNAPSHOT_REASONS}
+)
 
 
 class RunningQuery:
@@ -62,6 +64,7 @@
         self._finished = False
         self._last_reason = Reason.NO_REPLICA
         self._wake_at = request.deadline
+        self._is_held = False
         self._pin()
 
     def start(self, now: float) -> list[QueryAction]:
@@ -277,6 +280,9 @@
         if message.reason not in BLAMELESS_REASONS:
             self._router.stats.on_failure(attempt.server, now)
         actions: list[QueryAction] = []
+        if message.reason is Reason.QUARANTINED:
+            self._is_held = True
+            shard.sends = MOST_SENDS
         if shard.attempts or shard.sends >= MOST_SENDS:
             return self._finish_if_hopeless()
         ran = message.outcome is Outcome.UNKNOWN
@@ -346,7 +352,8 @@
         elif self._sends + self._extras == 0:
             outcome, reason = Outcome.NOT_RUN, self._last_reason
         else:
-            outcome, reason = Outcome.UNKNOWN, Reason.COVERAGE_TOO_LOW
+            held = Reason.QUARANTINED if self._is_held else Reason.COVERAGE_TOO_LOW
+            outcome, reason = Outcome.UNKNOWN, held
         actions: list[QueryAction] = []
         for shard in self._shards.values():
             actions.extend(self._cancel_attempts(shard, None))
--- a/currantwharf/tests/fake_calls.py
+++ b/currantwharf/tests/fake_calls.py
@@ -15,6 +15,8 @@
     from currantwharf.tests.fake_world import FakeWorld
 
 HOP_S = 0.0005  # seconds one way
+CRASH = "crash"  # the text that crashes a server of the shard it reaches
+CRASH_S = 0.002  # seconds
 PEER_TIMEOUT_S = 2.0  # seconds
 
 
@@ -138,6 +140,8 @@
         def settle(result: CallResult) -> None:
             caller.run(settle_once, done, done.callback, result)
 
+        if any(work.body.get("text") == CRASH for work in works):
+            world.clock.callLater(CRASH_S, world.lose_backend, self._server)
         items = [backend.submit(work, started) for work in works]
         assert len(items) == 1, "the fake carries one request in a call"
 
--- a/currantwharf/wire/heartbeat.py
+++ b/currantwharf/wire/heartbeat.py
@@ -22,10 +22,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashNews:
-    """Tell that a backend server was lost while it ran a request."""
+    """Tell that a backend server was lost while it ran a request.
 
-    fingerprint: str
-    server: str
+    `key` names the request by its fingerprint and shard, `boot` the server and its
+    boot; the loss was `age_s` seconds ago.
+    """
+
+    key: str
+    boot: str
     age_s: float
 
 
