Find silent connections beside their siblings; send orders on fresh ones

Cause: a connection that something between the two ends has lost track of swallows a request until its deadline and holds a slot of the server's limit for as long.

Change: when a later call to the same server has been answered and an idempotent one has waited for eight usual service times and 0.1 s, its call is given up and its connection closed, at no cost to the server's limit. An order travels on a new connection, which has just shown that it is alive, at the price of the connect time.

Conclusion: the limit of a warm server survives a silent connection. A server with a limit of one has no sibling to compare with; there the hedge carries the query.

--- a/currantwharf/adapters/backend_client.py
+++ b/currantwharf/adapters/backend_client.py
@@ -23,6 +23,9 @@
 
     def __init__(self, reactor: Any, address: str, slots: int) -> None:
         self._agent = make_agent(reactor, slots + SPARE_CONNECTIONS)
+        # A connection that has just been made is alive; one that was idle may have
+        # gone silent. An order that meets a silent one would end in doubt.
+        self._fresh_agent = make_agent(reactor, 0)
         self._reactor = reactor
         self._ask_url = f"http://{address}/v1/shard-requests".encode()
         self._cancel_url = f"http://{address}/v1/cancellations".encode()
@@ -32,7 +35,8 @@
         timeout = max(req.budget_ms for req in requests) / 1000
         body = msgspec.json.encode({"requests": [_item(req) for req in requests]})
         try:
-            answer = await self._post(self._ask_url, body, max(timeout, 0.001))
+            fresh = not requests[0].idempotent
+            answer = await self._post(self._ask_url, body, max(timeout, 0.001), fresh)
             if answer.status != 200:
                 return CallFailed(sent=True)
             return _decoder.decode(answer.body)
@@ -51,8 +55,11 @@
             # A cancellation only saves work; the answer is dropped in any case.
             return
 
-    async def _post(self, url: bytes, body: bytes, timeout_s: float) -> PostAnswer:
-        return await post_json(self._agent, self._reactor, url, body, timeout_s)
+    async def _post(
+        self, url: bytes, body: bytes, timeout_s: float, fresh: bool = False
+    ) -> PostAnswer:
+        agent = self._fresh_agent if fresh else self._agent
+        return await post_json(agent, self._reactor, url, body, timeout_s)
 
 
 _decoder = msgspec.json.Decoder(BackendAnswer)
--- a/currantwharf/adapters/http_pool.py
+++ b/currantwharf/adapters/http_pool.py
@@ -9,8 +9,11 @@
 
 
 def make_agent(reactor: Any, connections: int) -> Any:
-    """Return an agent that keeps up to `connections` open to each host."""
-    pool = HTTPConnectionPool(reactor, persistent=True)
+    """Return an agent that keeps up to `connections` open to each host.
+
+    With 0 it makes a new connection for each call.
+    """
+    pool = HTTPConnectionPool(reactor, persistent=connections > 0)
     pool.maxPersistentPerHost = connections
     pool.cachedConnectionTimeout = IDLE_S
     # A repeat below the decisions would be a retry in a second layer.
--- a/currantwharf/node/owned_server.py
+++ b/currantwharf/node/owned_server.py
@@ -1,11 +1,13 @@
 """A backend server that this instance owns."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
+from twisted.internet.defer import Deferred
+
 from currantwharf.config import BackendServer
 from currantwharf.node.interfaces import BackendCalls
-from currantwharf.owner import ServerGate
+from currantwharf.owner import CallResult, ServerGate
 
 
 @dataclass(slots=True)
@@ -13,7 +15,8 @@
     """Hold the gate of a server, its connections and its timer.
 
     `released` is set once another instance owns the server; calls under way end
-    here, and nothing new begins.
+    here, and nothing new begins. `calls` are those under way; the `abandoned` ones
+    were given up because their connection had gone silent.
     """
 
     declared: BackendServer
@@ -21,4 +24,5 @@
     client: BackendCalls
     timer: Any = None
     released: bool = False
-    busy_s: float = 0.0
+    calls: dict[int, "Deferred[CallResult]"] = field(default_factory=dict)
+    abandoned: set[int] = field(default_factory=set)
--- a/currantwharf/node/owner_task.py
+++ b/currantwharf/node/owner_task.py
@@ -4,7 +4,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import CancelledError, ensureDeferred
 
 from currantwharf.config import BackendServer, VersionedConfig
 from currantwharf.metrics import Recorder
@@ -15,6 +15,7 @@
 from currantwharf.node.post import Post
 from currantwharf.owner import (
     TAKEOVER_WAIT_S,
+    Abandon,
     Abort,
     CallFailed,
     CallResult,
@@ -195,6 +196,11 @@
         cancels = tuple(Cancel(r.query, r.attempt, r.server) for r in action.requests)
         ensureDeferred(owned.client.cancel(cancels))
 
+    @_do.register
+    def _(self, action: Abandon, owned: OwnedServer) -> None:
+        owned.abandoned.add(action.call)
+        owned.calls[action.call].cancel()
+
     @_do.register
     def _(self, action: WakeAt, owned: OwnedServer) -> None:
         now = self._clock.now()
@@ -206,8 +212,7 @@
         self._perform(owned, owned.gate.run(self._clock.now()))
 
     async def _call(self, owned: OwnedServer, dispatch: Dispatch) -> None:
-        started = self._clock.now()
-        result: CallResult = await owned.client.ask(dispatch.requests)
+        result = await self._ask(owned, dispatch)
         now = self._clock.now()
         if isinstance(result, CallFailed):
             self._note_failure(owned, dispatch, result, now)
@@ -223,10 +228,23 @@
         if not isinstance(result, CallFailed):
             for request in dispatch.requests:
                 self.crashes.note_answer(crash_key(request))
-        owned.busy_s += now - started
         self._perform(owned, actions)
         self._hand_over_if_idle(owned)
 
+    async def _ask(self, owned: OwnedServer, dispatch: Dispatch) -> CallResult:
+        asked = ensureDeferred(owned.client.ask(dispatch.requests))
+        owned.calls[dispatch.call] = asked
+        try:
+            result = await asked
+        except CancelledError:
+            result = CallFailed(sent=True, timed_out=True)
+        del owned.calls[dispatch.call]
+        if dispatch.call in owned.abandoned:
+            owned.abandoned.discard(dispatch.call)
+            self._recorder.count("silent_connections")
+            return CallFailed(sent=True, timed_out=True, silent=True)
+        return result
+
     def _note_failure(
         self, owned: OwnedServer, dispatch: Dispatch, failed: CallFailed, now: float
     ) -> None:
--- a/currantwharf/owner/__init__.py
+++ b/currantwharf/owner/__init__.py
@@ -1,6 +1,13 @@
 """What the owner of a backend server decides: its limit, queue and condition."""
 
-from currantwharf.owner.actions import Abort, Dispatch, GateAction, Refuse, WakeAt
+from currantwharf.owner.actions import (
+    Abandon,
+    Abort,
+    Dispatch,
+    GateAction,
+    Refuse,
+    WakeAt,
+)
 from currantwharf.owner.call_result import (
     BackendAnswer,
     BackendItem,
@@ -16,6 +23,7 @@
 
 __all__ = [
     "TAKEOVER_WAIT_S",
+    "Abandon",
     "Abort",
     "BackendAnswer",
     "BackendItem",
--- a/currantwharf/owner/actions.py
+++ b/currantwharf/owner/actions.py
@@ -36,4 +36,11 @@
     at: float
 
 
-GateAction = Dispatch | Refuse | Abort | WakeAt
+@dataclass(frozen=True, slots=True)
+class Abandon:
+    """Give up a call whose connection has gone silent, and close the connection."""
+
+    call: int
+
+
+GateAction = Dispatch | Refuse | Abort | WakeAt | Abandon
--- a/currantwharf/owner/call_result.py
+++ b/currantwharf/owner/call_result.py
@@ -46,10 +46,13 @@
     """Tell that a call brought no answer.
 
     With `sent` false no byte of the request left, which proves that it did not run.
+    `silent` marks a call that was given up because its connection had gone silent
+    while others to the same server answered.
     """
 
     sent: bool
     timed_out: bool = False
+    silent: bool = False
 
 
 CallResult = BackendAnswer | CallFailed
--- a/currantwharf/owner/server_gate.py
+++ b/currantwharf/owner/server_gate.py
@@ -8,7 +8,14 @@
 import heapq
 from dataclasses import dataclass, field
 
-from currantwharf.owner.actions import Abort, Dispatch, GateAction, Refuse, WakeAt
+from currantwharf.owner.actions import (
+    Abandon,
+    Abort,
+    Dispatch,
+    GateAction,
+    Refuse,
+    WakeAt,
+)
 from currantwharf.owner.call_result import (
     BackendAnswer,
     CallFailed,
@@ -27,6 +34,8 @@
 QUEUE_LIMIT = 512  # requests
 FRESH_S = 0.25  # seconds; no server restarts in less without cutting a connection
 FRESH_ANSWERS = 3.0  # times the usual service time
+SILENT_S = 0.1  # seconds before a connection may count as silent
+SILENT_ANSWERS = 8.0  # times the usual service time
 TAKEOVER_WAIT_S = 0.3  # seconds a new owner waits for the former one to let go
 
 
@@ -104,11 +113,27 @@
 
     def finish(self, call: int, result: CallResult, now: float) -> list[GateAction]:
         """Note what came of a call and let the next requests through."""
-        if self.in_flight.pop(call, None) is None:
+        flight = self.in_flight.pop(call, None)
+        if flight is None:
             return []
         if isinstance(result, CallFailed):
             return self._on_failed(result, now)
-        return self._on_answer(result, now)
+        silent = self._find_silent(flight, now)
+        return silent + self._on_answer(result, now)
+
+    def _find_silent(self, answered: CallInFlight, now: float) -> list[GateAction]:
+        """Give up calls that stay silent while a later one has been answered.
+
+        A call to a slow server is not given up, since its siblings are slow as well.
+        """
+        patience = max(SILENT_S, SILENT_ANSWERS * self.limit.usual_ms / 1000)
+        return [
+            Abandon(call)
+            for call, flight in self.in_flight.items()
+            if flight.sent_at < answered.sent_at
+            and now - flight.sent_at > patience
+            and flight.requests[0].idempotent
+        ]
 
     def _on_answer(self, answer: BackendAnswer, now: float) -> list[GateAction]:
         self._watch.answered()
@@ -125,6 +150,8 @@
         return self.run(now)
 
     def _on_failed(self, failed: CallFailed, now: float) -> list[GateAction]:
+        if failed.silent:
+            return self.run(now)
         if not failed.timed_out:
             self._watch.lost(now)
             self.limit.on_lost()
--- a/currantwharf/owner/tests/test_server_gate.py
+++ b/currantwharf/owner/tests/test_server_gate.py
@@ -1,6 +1,7 @@
 import unittest
 
 from currantwharf.owner import (
+    Abandon,
     BackendAnswer,
     BackendItem,
     CallFailed,
@@ -182,6 +183,37 @@
         gate.cancel(Cancel("b", 1, "camphor-0-0"), 1.0)
         self.assertEqual(gate.finish(first.call, make_backend_answer(), 1.01), [])
 
+    def test_call_that_is_silent_beside_its_siblings_is_given_up(self) -> None:
+        gate = make_gate()
+        now = warm_up(gate)
+        (silent,) = dispatches(gate.submit(make_shard_request("a"), now))
+        given_up = []
+        for number in range(30):
+            actions = gate.submit(make_shard_request(f"q{number}"), now)
+            now += 0.01
+            (sibling,) = dispatches(actions)
+            actions = gate.finish(sibling.call, make_backend_answer(), now)
+            given_up.extend(a for a in actions if isinstance(a, Abandon))
+        self.assertIn(Abandon(silent.call), given_up)
+        gate.finish(silent.call, CallFailed(True, True, silent=True), now)
+        self.assertEqual(gate.limit.value, 2.0, "the server is not to blame")
+
+    def test_call_to_a_slow_server_is_not_given_up(self) -> None:
+        gate = make_gate()
+        now = warm_up(gate)
+        gate.submit(make_shard_request("a"), now)
+        (second,) = dispatches(gate.submit(make_shard_request("b"), now))
+        actions = gate.finish(second.call, make_backend_answer(), now + 1)
+        self.assertEqual(actions, [])
+
+    def test_order_is_never_given_up(self) -> None:
+        gate = make_gate()
+        now = warm_up(gate)
+        gate.submit(make_shard_request("a", idempotent=False), now)
+        (second,) = dispatches(gate.submit(make_shard_request("b"), now + 0.2))
+        actions = gate.finish(second.call, make_backend_answer(), now + 0.3)
+        self.assertEqual(actions, [])
+
     def test_running_order_is_never_aborted(self) -> None:
         gate = make_gate()
         gate.submit(make_shard_request("a", idempotent=False), 1.0)
