Watch the platform briefly, and look past cut-off readers

Cause: the fuzz, given a stale platform, crossed answers and gone index versions, found changes that were not in force 12 s after a stale service had recovered: a watch of 20 s had been left waiting at the stale copy. Shorter watches then showed that two tests had passed only because a watch from before a cut brought the change: with both readers of each data centre cut off, nobody looked.

Change: a watch waits 2 s and is given up 1 s later, which bounds a silent one too. Instances that are no readers make one spot check a second together in each data centre.

Conclusion: what bounds a stale or silent watch is its own length.

--- a/currantwharf/adapters/platform_client.py
+++ b/currantwharf/adapters/platform_client.py
@@ -14,7 +14,7 @@
 from currantwharf.fleet import InstanceList
 
 CONNECTIONS = 2  # one for each watch
-SLACK_S = 2.0  # seconds that a watch may outlast its own time
+SLACK_S = 1.0  # seconds that a watch may outlast its own time
 
 
 class PlatformClient:
--- a/currantwharf/fleet/__init__.py
+++ b/currantwharf/fleet/__init__.py
@@ -7,11 +7,12 @@
 from currantwharf.fleet.membership import Membership
 from currantwharf.fleet.owners import Owners
 from currantwharf.fleet.pause import PauseDetector
-from currantwharf.fleet.readers import is_reader
+from currantwharf.fleet.readers import READERS_PER_DATA_CENTRE, is_reader
 from currantwharf.fleet.rendezvous import highest, top
 
 __all__ = [
     "EMPTY_LIST",
+    "READERS_PER_DATA_CENTRE",
     "InstanceList",
     "Life",
     "LifeRecord",
--- a/currantwharf/node/fleet_task.py
+++ b/currantwharf/node/fleet_task.py
@@ -9,6 +9,7 @@
 
 from currantwharf.config import PublishedConfig, VersionedConfig, is_newer, parse_config
 from currantwharf.fleet import (
+    READERS_PER_DATA_CENTRE,
     InstanceList,
     LifeRecord,
     Membership,
@@ -27,7 +28,7 @@
 HEARTBEAT_S = 0.5  # seconds between two probes
 PUSH_TO = 3  # peers that hear at once of a new configuration
 ASK_AT_JOIN = 3  # peers that a joining or woken instance asks
-WATCH_S = 20.0  # seconds that one watch at the platform waits
+WATCH_S = 2.0  # seconds that one watch at the platform waits; bounds a silent one
 READER_CHECK_S = 1.0  # seconds
 RETRY_S = 0.5  # seconds after a failed call to the platform
 
@@ -294,15 +295,26 @@
             await self._watch_once(self._read_list)
 
     async def _watch_once(self, read: Any) -> None:
-        if not self._is_reader():
+        is_reader = self._is_reader()
+        if not is_reader:
             await deferLater(self._reactor, READER_CHECK_S, lambda: None)
-            return
+            if self._rng.random() >= self._spot_check_share():
+                return
         try:
-            await read(WATCH_S)
+            await read(WATCH_S if is_reader else 0)
         except Exception:
             self.platform_failures += 1
             await deferLater(self._reactor, RETRY_S, lambda: None)
 
+    def _spot_check_share(self) -> float:
+        """Return how often an instance that is no reader looks for itself.
+
+        The readers may be the ones that are cut off from the platform. The others of a
+        data centre make one call a second together, however many they are.
+        """
+        others = len(self._near_peers()) + 1 - READERS_PER_DATA_CENTRE
+        return 1 / max(1, others)
+
     def _is_reader(self) -> bool:
         near = [name for name in self._near_peers() if self.membership.usable(name)]
         return is_reader(self._name, near)
--- /dev/null
+++ b/currantwharf/tests/mutations.py
@@ -0,0 +1,87 @@
+"""Mutations of the code, one for each invariant, that the fuzz has to find.
+
+Each breaks one decision in the running program only. docs/fuzzing.md lists how many
+examples it took to find each.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+from unittest.mock import patch
+
+from currantwharf import owner
+from currantwharf.node import graceful_stop
+from currantwharf.node.instance import Instance
+from currantwharf.once.claim_table import ClaimTable
+from currantwharf.once.running_order import RunningOrder
+from currantwharf.owner import limit
+from currantwharf.query.coverage import Coverage
+from currantwharf.query.router import Router
+from currantwharf.query.running_query import RunningQuery
+from currantwharf.wire import ClaimReply, Outcome
+
+
+def _restart_keeping_hits(query: RunningQuery, now: float) -> list[Any]:
+    kept = {name: s.hits for name, s in query._shards.items() if s.hits is not None}
+    actions = _restart(query, now)
+    for name, hits in kept.items():
+        query._shards[name].hits = hits
+        query._answered += 1
+    return actions
+
+
+def _grant(table: ClaimTable, claim: Any, sees_majority: bool, wall: float) -> Any:
+    return ClaimReply(claim.request_id, claim.token, table.instance, True)
+
+
+def _refuse_as_not_run(order: RunningOrder, reason: Any) -> list[Any]:
+    return order._tell_holders(ran=False) + order._finish(Outcome.NOT_RUN, reason)
+
+
+def _answers_by_place(requests: Any, result: Any, queue: int) -> Any:
+    if hasattr(result, "items"):
+        pairs = zip(requests, result.items, strict=False)
+        items = tuple(
+            replace(item, query=request.query, attempt=request.attempt)
+            for request, item in pairs
+        )
+        result = replace(result, items=items)
+    return _answers_for(requests, result, queue)
+
+
+_restart = RunningQuery._restart
+_answers_for = owner.answers_for
+
+MUTATIONS: dict[str, Callable[[], Any]] = {
+    "one snapshot: a restart keeps the old hits": lambda: patch.object(
+        RunningQuery, "_restart", _restart_keeping_hits
+    ),
+    "true coverage: every shard counts as answered": lambda: patch.object(
+        RunningQuery,
+        "_coverage",
+        lambda query: Coverage(len(query._shards), len(query._shards)),
+    ),
+    "cold server: the cold limit is 2": lambda: patch.object(limit, "COLD_LIMIT", 2.0),
+    "data centre out: routing ignores it": lambda: patch.object(
+        Router, "may_take_work", lambda router, server, config: True
+    ),
+    "own answer: items count by place, not by id": lambda: patch(
+        "currantwharf.node.owner_task.answers_for", _answers_by_place
+    ),
+    "not run: every refusal says so": lambda: patch.object(
+        RunningOrder, "_refuse", _refuse_as_not_run
+    ),
+    "at most once: every claim is granted": lambda: patch.object(
+        ClaimTable, "claim", _grant
+    ),
+    "leaving server: the list is ignored": lambda: patch.object(
+        Instance, "_is_listed_as_leaving", lambda instance, server: False
+    ),
+    "graceful stop: drained at once": lambda: patch.multiple(
+        graceful_stop, BALANCER_LAG_S=-1.0, _is_drained=lambda instance: True
+    ),
+    "configuration: any other version replaces": lambda: patch(
+        "currantwharf.node.fleet_task.is_newer",
+        lambda version, held: held is None or version not in (0, held.version),
+    ),
+}
