Bring answers back on the call that asked

Cause: at today's load a query cost 45 to 50 ms of processor time over nine instances, five times the direct baseline; the profile is HTTP calls, and each envelope of requests was answered by an envelope of its own.

Change: the called instance holds the call open until all that it asked is answered, 3 ms after the first answer, or 40 ms at most; the answers ride on the reply. Later ones travel as before, so a straggler holds nothing up.

--- a/currantwharf/adapters/peer_client.py
+++ b/currantwharf/adapters/peer_client.py
@@ -9,7 +9,7 @@
 from currantwharf.adapters.json_post import post_json
 from currantwharf.adapters.peer_error import PeerError
 from currantwharf.fleet import InstanceList
-from currantwharf.wire import Ack, MemberNews
+from currantwharf.wire import MemberNews, Reply, unpack_reply
 
 CONNECTIONS = 4  # idle connections kept to each peer
 CALL_S = 2.0  # seconds for one call
@@ -22,13 +22,13 @@
         self._reactor = reactor
         self._agent = make_agent(reactor, CONNECTIONS)
 
-    async def post(self, address: str, envelope: bytes) -> Ack:
-        """Deliver an envelope and return the peer's acknowledgement."""
+    async def post(self, address: str, envelope: bytes) -> Reply:
+        """Deliver an envelope and return the peer's reply."""
         url = f"http://{address}/peer/messages".encode()
         answer = await post_json(self._agent, self._reactor, url, envelope, CALL_S)
         if answer.status != 200:
             raise PeerError(answer.status)
-        return msgspec.json.decode(answer.body, type=Ack)
+        return unpack_reply(answer.body)
 
     async def get_config(self, address: str) -> tuple[int, bytes]:
         """Return the version and the document of a peer's configuration."""
--- a/currantwharf/adapters/peer_server.py
+++ b/currantwharf/adapters/peer_server.py
@@ -4,19 +4,20 @@
 
 import msgspec
 from klein import Klein
+from twisted.internet.defer import Deferred
 from twisted.web.server import Request
 
 from currantwharf.adapters.bounded_site import read_body
 from currantwharf.config import VersionedConfig
 from currantwharf.fleet import InstanceList
-from currantwharf.wire import Ack, Envelope, MemberNews, unpack
+from currantwharf.wire import Envelope, MemberNews, unpack
 
 
 class PeerHandler(Protocol):
     """What the peer interface needs from the instance."""
 
-    def take_envelope(self, envelope: Envelope) -> Ack:
-        """Take the messages in and say how this instance stands."""
+    def take_envelope(self, envelope: Envelope) -> "Deferred[bytes]":
+        """Take the messages in and give the encoded reply once it is complete."""
 
     def held_config(self) -> VersionedConfig | None:
         """Return the configuration in force."""
@@ -33,13 +34,13 @@
     app = Klein()
 
     @app.route("/peer/messages", methods=["POST"])
-    def messages(request: Request) -> bytes:
+    def messages(request: Request) -> "Deferred[bytes] | bytes":
         try:
             envelope = unpack(read_body(request))
         except (msgspec.MsgspecError, UnicodeDecodeError):
             request.setResponseCode(400)
             return b'{"error":"not_an_envelope"}'
-        return msgspec.json.encode(handler.take_envelope(envelope))
+        return handler.take_envelope(envelope)
 
     @app.route("/peer/config")
     def config(request: Request) -> bytes:
--- a/currantwharf/node/fleet_task.py
+++ b/currantwharf/node/fleet_task.py
@@ -248,7 +248,7 @@
         message = self.membership.heartbeat(self.standing())
         envelope = pack(self._name, self.membership.boot_id, [message])
         try:
-            ack = await self._peers.post(address, envelope)
+            ack = (await self._peers.post(address, envelope)).ack
             self.membership.hear(ack, self._clock.now())
             news = await self._peers.get_members(address)
             self.membership.take_news(news, self._clock.now())
--- a/currantwharf/node/instance.py
+++ b/currantwharf/node/instance.py
@@ -35,6 +35,7 @@
     ShardAnswer,
     ShardRequest,
     messages_of,
+    pack_reply,
 )
 
 
@@ -129,12 +130,16 @@
 
     # The peer interface.
 
-    def take_envelope(self, envelope: Envelope) -> Ack:
-        """Take the messages of a peer in."""
+    def take_envelope(self, envelope: Envelope) -> "Deferred[bytes]":
+        """Take the messages of a peer in; the call is held open for their answers."""
         self.fleet.observe_time()
+        expected = len(envelope.requests) + len(envelope.claims)
+        answers = self.post.open_slot(envelope.sender, expected)
         for message in messages_of(envelope):
             self._take(message, envelope.sender)
-        return self.fleet.standing()
+        return answers.addCallback(
+            lambda messages: pack_reply(self.fleet.standing(), messages)
+        )
 
     def held_config(self) -> VersionedConfig | None:
         """Return the configuration in force."""
@@ -177,6 +182,10 @@
         if isinstance(failed.message, ShardRequest | Claim):
             self.entry.tell(failed)
 
+    def on_reply(self, peer: str, message: PeerMessage) -> None:
+        """Receive a message that came back on a call of this instance."""
+        self._take(message, peer)
+
     def on_local(self, message: PeerMessage) -> None:
         """Receive a message that this instance has sent to itself."""
         self._take(message, self.settings.instance)
--- a/currantwharf/node/interfaces.py
+++ b/currantwharf/node/interfaces.py
@@ -10,14 +10,14 @@
 from currantwharf.config import BackendServer
 from currantwharf.fleet import InstanceList
 from currantwharf.owner import CallResult
-from currantwharf.wire import Ack, Cancel, MemberNews, ShardRequest
+from currantwharf.wire import Cancel, MemberNews, Reply, ShardRequest
 
 
 class PeerCalls(Protocol):
     """Calls to other instances; each raises when it brings no answer."""
 
-    async def post(self, address: str, envelope: bytes) -> Ack:
-        """Deliver an envelope and return the peer's acknowledgement."""
+    async def post(self, address: str, envelope: bytes) -> Reply:
+        """Deliver an envelope and return the peer's reply."""
 
     async def get_config(self, address: str) -> tuple[int, bytes]:
         """Return the version and the document of a peer's configuration."""
--- a/currantwharf/node/post.py
+++ b/currantwharf/node/post.py
@@ -3,18 +3,26 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred, succeed
 from twisted.internet.error import ConnectionRefusedError
 
 from currantwharf.adapters.http_errors import was_sent
 from currantwharf.node.clock import Clock
 from currantwharf.node.interfaces import PeerCalls
 from currantwharf.node.part_log import part_log
+from currantwharf.node.reply_slot import ReplySlot
 from currantwharf.query import DeliveryFailed
-from currantwharf.wire import Ack, PeerMessage, pack
-
-CALLS_AT_ONCE = 2  # calls under way to one peer while it acknowledges
-CALLS_WHEN_SILENT = 4  # calls under way when the oldest has waited long
+from currantwharf.wire import (
+    Ack,
+    ClaimReply,
+    PeerMessage,
+    ShardAnswer,
+    messages_of,
+    pack,
+)
+
+CALLS_AT_ONCE = 8  # calls under way to one peer, each held open for its answers
+CALLS_WHEN_SILENT = 10  # calls under way when the oldest has waited long
 SILENT_S = 0.15  # seconds without an acknowledgement that make a peer silent
 MOST_MESSAGES = 256  # messages in one call
 MOST_WAITING = 20_000  # messages that wait for one peer
@@ -31,6 +39,9 @@
     def on_call_failed(self, peer: str, refused: bool) -> None:
         """Hear that a call to a peer failed, and whether it refused to connect."""
 
+    def on_reply(self, peer: str, message: PeerMessage) -> None:
+        """Receive a message that came back on a call of this instance."""
+
     def on_delivery_failed(self, failed: DeliveryFailed) -> None:
         """Hear that a message was not acknowledged."""
 
@@ -43,6 +54,7 @@
 
     def __init__(self) -> None:
         self.waiting: list[PeerMessage] = []
+        self.slots: list[ReplySlot] = []
         self.calls: dict[int, float] = {}
         self.next_call = 0
 
@@ -84,6 +96,9 @@
             self._reactor.callLater(0, self._listener.on_local, message)
             return
         box = self._boxes.setdefault(to, PeerBox())
+        if box.slots and isinstance(message, ShardAnswer | ClaimReply):
+            box.slots[0].add(message)
+            return
         if len(box.waiting) >= MOST_WAITING:
             self._reactor.callLater(0, self._fail, to, [message], False)
             return
@@ -92,6 +107,21 @@
             self._due.add(to)
             self._reactor.callLater(0, self._flush, to)
 
+    def open_slot(self, peer: str, expected: int) -> "Deferred[list[PeerMessage]]":
+        """Hold a call of `peer` open for up to `expected` answers."""
+        if not expected:
+            return succeed([])
+        box = self._boxes.setdefault(peer, PeerBox())
+        slot = ReplySlot(self._reactor, expected)
+        box.slots.append(slot)
+
+        def closed(messages: list[PeerMessage]) -> list[PeerMessage]:
+            box.slots.remove(slot)
+            self.messages_sent += len(messages)
+            return messages
+
+        return slot.done.addCallback(closed)
+
     def is_silent(self, peer: str) -> bool:
         """Return whether a call to `peer` has waited long for its acknowledgement."""
         box = self._boxes.get(peer)
@@ -107,7 +137,8 @@
 
     def idle(self) -> bool:
         """Return whether nothing waits and no call is under way."""
-        return all(not box.waiting and not box.calls for box in self._boxes.values())
+        boxes = self._boxes.values()
+        return not any(box.waiting or box.calls or box.slots for box in boxes)
 
     def _flush(self, peer: str) -> None:
         self._due.discard(peer)
@@ -138,7 +169,7 @@
         self.messages_sent += len(batch)
         self.bytes_sent += len(envelope)
         try:
-            ack = await self._client.post(address, envelope)
+            reply = await self._client.post(address, envelope)
         except Exception as exc:
             del box.calls[call]
             log.info("a call to a peer failed", extra={"peer": peer, "why": repr(exc)})
@@ -147,7 +178,10 @@
             self._fail(peer, batch, was_sent(exc))
         else:
             del box.calls[call]
-            self._listener.on_ack(peer, ack)
+            self._listener.on_ack(peer, reply.ack)
+            if reply.envelope is not None:
+                for message in messages_of(reply.envelope):
+                    self._listener.on_reply(peer, message)
         if box.waiting:
             self._flush(peer)
 
--- a/currantwharf/tests/fake_calls.py
+++ b/currantwharf/tests/fake_calls.py
@@ -4,13 +4,20 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
-from twisted.internet.defer import Deferred, TimeoutError
+from twisted.internet.defer import Deferred, TimeoutError, maybeDeferred
 from twisted.internet.error import ConnectionRefusedError
 
 from currantwharf.fleet import InstanceList
 from currantwharf.owner import BackendAnswer, CallFailed, CallResult
 from currantwharf.standin import Work
-from currantwharf.wire import Ack, Cancel, MemberNews, ShardRequest, unpack
+from currantwharf.wire import (
+    Cancel,
+    MemberNews,
+    Reply,
+    ShardRequest,
+    unpack,
+    unpack_reply,
+)
 
 if TYPE_CHECKING:
     from currantwharf.tests.fake_world import FakeWorld
@@ -34,8 +41,9 @@
         self._world = world
         self._name = name
 
-    async def post(self, address: str, envelope: bytes) -> Ack:
-        return await self._call(address, lambda i: i.take_envelope(unpack(envelope)))
+    async def post(self, address: str, envelope: bytes) -> Reply:
+        body = await self._call(address, lambda i: i.take_envelope(unpack(envelope)))
+        return unpack_reply(body)
 
     async def get_config(self, address: str) -> tuple[int, bytes]:
         held = await self._call(address, lambda instance: instance.held_config())
@@ -62,14 +70,17 @@
         def answer() -> None:
             if address not in world.nodes:
                 return
-            try:
-                found = ask(world.nodes[address])
-            except Exception as exc:
-                clock.callLater(HOP_S, settle, done.errback, exc)
-                return
-            if (address, self._name) not in world.cut:
+            asked = maybeDeferred(ask, world.nodes[address])
+            asked.addCallbacks(succeeded, failed)
+
+        def succeeded(found: Any) -> None:
+            alive = address in world.nodes
+            if alive and (address, self._name) not in world.cut:
                 clock.callLater(HOP_S, settle, done.callback, found)
 
+        def failed(failure: Any) -> None:
+            clock.callLater(HOP_S, settle, done.errback, failure.value)
+
         if (self._name, address) not in world.cut:
             clock.callLater(HOP_S, callee.run, answer)
         clock.callLater(PEER_TIMEOUT_S, settle, done.errback, TimeoutError())
--- a/currantwharf/wire/__init__.py
+++ b/currantwharf/wire/__init__.py
@@ -14,6 +14,7 @@
 from currantwharf.wire.hit import Hit
 from currantwharf.wire.outcome import Outcome
 from currantwharf.wire.reason import Reason
+from currantwharf.wire.reply import Reply, pack_reply, unpack_reply
 from currantwharf.wire.server_released import ServerReleased
 from currantwharf.wire.shard_answer import ShardAnswer
 from currantwharf.wire.shard_request import ShardRequest
@@ -32,10 +33,13 @@
     "Outcome",
     "PeerMessage",
     "Reason",
+    "Reply",
     "ServerReleased",
     "ShardAnswer",
     "ShardRequest",
     "messages_of",
     "pack",
+    "pack_reply",
     "unpack",
+    "unpack_reply",
 ]
--- a/currantwharf/wire/envelope.py
+++ b/currantwharf/wire/envelope.py
@@ -62,10 +62,16 @@
     >>> unpack(raw).cancels
     (Cancel(query='q1', attempt=0, server='s1'),)
     """
+    groups = group_by_kind(messages)
+    return msgspec.json.encode({"sender": sender, "boot_id": boot_id, **groups})
+
+
+def group_by_kind(messages: list[PeerMessage]) -> dict[str, list[PeerMessage]]:
+    """Return the messages under the names of their fields in an envelope."""
     groups: dict[str, list[PeerMessage]] = {}
     for message in messages:
         groups.setdefault(FIELD_OF_KIND[type(message)], []).append(message)
-    return msgspec.json.encode({"sender": sender, "boot_id": boot_id, **groups})
+    return groups
 
 
 _decoder = msgspec.json.Decoder(Envelope)
