Let the smaller side of a partition stand in for nobody

Ruled out: the ramp; each side kept to one request.

Change: instances stand in for a data centre without any only if they see most of those that may. A timer of a held call that fired during a pause is not cancelled.

Conclusion: whoever takes a server over needs a majority, at home and as stand-in.

--- a/currantwharf/fleet/owners.py
+++ b/currantwharf/fleet/owners.py
@@ -63,24 +63,34 @@
         """
         listed = self._listed_in({self._data_centre})
         usable = [name for name in listed if self._is_usable(name)]
-        return 2 * len(usable) > len(listed)
+        return _is_majority(usable, listed)
 
     def _find_candidates(self, data_centre: str, config: PublishedConfig) -> list[str]:
+        listed = self._listed_in({data_centre})
+        if listed:
+            return self._owners_at_home(listed, data_centre)
         region = config.data_centres[data_centre].region
         near = {n for n, dc in config.data_centres.items() if dc.region == region}
-        for centres in ({data_centre}, near, set(config.data_centres)):
-            listed = self._listed_in(centres)
-            if listed:
-                return self._usable_of(listed, data_centre)
-        return []
+        if self._listed_in(near):
+            return self._stand_ins(near)
+        return self._stand_ins(set(config.data_centres))
 
-    def _usable_of(self, listed: list[str], data_centre: str) -> list[str]:
+    def _owners_at_home(self, listed: list[str], data_centre: str) -> list[str]:
         usable = [name for name in listed if self._is_usable(name)]
-        if data_centre == self._data_centre and 2 * len(usable) <= len(listed):
+        if data_centre == self._data_centre and not _is_majority(usable, listed):
             members = self._membership.members
             return [n for n in listed if n in members or n in usable]
         return usable
 
+    def _stand_ins(self, centres: set[str]) -> list[str]:
+        """Return who stands in for a data centre without instances.
+
+        Two sides of a partition must not both stand in, so the smaller does not.
+        """
+        listed = self._listed_in(centres)
+        usable = [name for name in listed if self._is_usable(name)]
+        return usable if _is_majority(usable, listed) else []
+
     def _is_usable(self, name: str) -> bool:
         if name == self._membership.instance:
             return self._self_usable
@@ -101,3 +111,7 @@
         if seen != self._seen:
             self._seen = seen
             self.forget()
+
+
+def _is_majority(usable: list[str], listed: list[str]) -> bool:
+    return 2 * len(usable) > len(listed)
--- a/currantwharf/fleet/tests/test_owners.py
+++ b/currantwharf/fleet/tests/test_owners.py
@@ -73,6 +73,17 @@
             if CONFIG.servers[server].data_centre == CENTRES[1]:
                 self.assertIsNone(owners.owner_of(server, CONFIG))
 
+    def test_smaller_side_of_a_partition_stands_in_for_nobody(self) -> None:
+        owners = make_owners("i0")
+        for name in ("i1", "i4", "i7"):
+            owners._membership.note_refused(name, 2.0)
+        for name in ("i2", "i3", "i5"):
+            owners._membership.suspect(name, 2.0)
+        owners._membership.tick(10.0)
+        for server in SERVERS:
+            if CONFIG.servers[server].data_centre == CENTRES[1]:
+                self.assertIsNone(owners.owner_of(server, CONFIG))
+
     def test_stopping_instance_owns_nothing(self) -> None:
         owners = make_owners("i0")
         owners._membership.hear(make_ack("i4", stopping=True), 2.0)
--- a/currantwharf/node/reply_slot.py
+++ b/currantwharf/node/reply_slot.py
@@ -36,12 +36,15 @@
         if len(self.messages) >= self._expected:
             self.close()
         elif len(self.messages) == 1:
-            self._timer.cancel()
+            self._stop_timer()
             self._timer = self._reactor.callLater(LINGER_S, self.close)
 
     def close(self) -> None:
         """End the call with what is there."""
-        if self._timer.active():
-            self._timer.cancel()
+        self._stop_timer()
         if self.is_open:
             self.done.callback(self.messages)
+
+    def _stop_timer(self) -> None:
+        if self._timer.active():
+            self._timer.cancel()
