--- a/currantwharf/tests/test_fuzz.py
+++ b/currantwharf/tests/test_fuzz.py
@@ -264,10 +264,10 @@
         self.oracle.check()
 
 
-def run_fuzz(examples: int, derandomize: bool, shrink: bool = True) -> None:
-    """Run the machine; raise the first failure, shrunk unless told otherwise."""
+def make_settings(examples: int, derandomize: bool, shrink: bool = True) -> settings:
+    """Return the settings of a run; without shrinking the first failure is raised."""
     phases = (Phase.generate, Phase.shrink) if shrink else (Phase.generate,)
-    chosen = settings(
+    return settings(
         max_examples=examples,
         stateful_step_count=STEPS,
         derandomize=derandomize,
@@ -278,6 +278,11 @@
         database=None,
         report_multiple_bugs=False,
     )
+
+
+def run_fuzz(examples: int, derandomize: bool, shrink: bool = True) -> None:
+    """Run the machine and raise what it finds."""
+    chosen = make_settings(examples, derandomize, shrink)
     run_state_machine_as_test(FleetMachine, settings=chosen)
 
 
