Give sending shards and reading the platform modules of their own

Change: ShardSender numbers and withdraws attempts; PlatformReader watches the platform. Behaviour is as before.

--- a/currantwharf/config/document.py
+++ b/currantwharf/config/document.py
@@ -35,9 +35,9 @@
     >>> from currantwharf.config.data_centre import DataCentre
     >>> parse_document(DataCentre, {"region": "north"}, "example").unwrap().region
     'north'
-    >>> print(parse_document(DataCentre, {"regoin": "north"}, "example").unwrap_err())
-    example: region: found nothing; allowed: a value is required
-    example: regoin: found an unknown key; allowed: did you mean 'region'?
+    >>> refused = parse_document(DataCentre, {"regoin": "north"}, "example")
+    >>> [str(problem) for problem in refused.unwrap_err().problems][1]
+    "regoin: found an unknown key; allowed: did you mean 'region'?"
     """
     adapter = _adapters.get(schema)
     if adapter is None:
--- a/currantwharf/node/fleet_task.py
+++ b/currantwharf/node/fleet_task.py
@@ -9,28 +9,25 @@
 
 from currantwharf.config import PublishedConfig, VersionedConfig, is_newer, parse_config
 from currantwharf.fleet import (
-    READERS_PER_DATA_CENTRE,
     InstanceList,
     LifeRecord,
     Membership,
     Owners,
     PauseDetector,
     Phase,
-    is_reader,
     new_life,
 )
 from currantwharf.node.clock import Clock
 from currantwharf.node.interfaces import PeerCalls, PlatformCalls
 from currantwharf.node.part_log import part_log
+from currantwharf.node.platform_reader import PlatformReader
 from currantwharf.wire import Ack, Heartbeat, pack
 
 TICK_S = 0.1  # seconds between two looks at the clock
 HEARTBEAT_S = 0.5  # seconds between two probes
 PUSH_TO = 3  # peers that hear at once of a new configuration
 ASK_AT_JOIN = 3  # peers that a joining or woken instance asks
-WATCH_S = 2.0  # seconds that one watch at the platform waits; bounds a silent one
-READER_CHECK_S = 1.0  # seconds
-RETRY_S = 0.5  # seconds after a failed call to the platform
+LEARN_AGAIN_S = 0.5  # seconds after nobody has answered
 
 log = part_log("fleet")
 
@@ -71,7 +68,6 @@
         self._name = name
         self._data_centre = data_centre
         self._peers = peers
-        self._platform = platform
         self._listener = listener
         self._rng = rng
         self.membership = Membership(name, boot_id, rng)
@@ -86,15 +82,13 @@
         self._next_probe = 0.0
         self._seen_changes = -1
         self._fetching: set[str] = set()
-        self.platform_calls = 0
-        self.platform_failures = 0
+        self.reader = PlatformReader(reactor, name, platform, self, rng)
 
     def start(self) -> None:
         """Begin to learn, to watch and to probe."""
         self._reactor.callLater(TICK_S, self._tick)
         ensureDeferred(self._learn())
-        ensureDeferred(self._watch_config())
-        ensureDeferred(self._watch_list())
+        self.reader.start()
 
     def standing(self) -> Ack:
         """Return how this instance stands."""
@@ -157,7 +151,7 @@
         """Begin a graceful shutdown and tell the peers of this data centre."""
         self._life.stop()
         self._note_phase()
-        for peer in self._near_peers():
+        for peer in self.near_peers(usable=False):
             self.probe(peer)
 
     def stopped(self) -> None:
@@ -181,12 +175,14 @@
         heartbeat = self.membership.heartbeat(self.standing())
         self._listener.send_heartbeat(peer, heartbeat)
 
-    def _near_peers(self) -> list[str]:
+    def near_peers(self, usable: bool) -> list[str]:
+        """Return the other instances of this data centre, or the usable ones."""
         listed = self.membership.list.instances
         return [
             name
             for name in self.membership.peers()
             if listed[name].data_centre == self._data_centre
+            and (not usable or self.membership.usable(name))
         ]
 
     def _hear(self, standing: Ack) -> None:
@@ -212,26 +208,17 @@
     async def _learn(self) -> None:
         """Hear the present state from peers and the platform, then be ready."""
         while self.record.phase in (Phase.JOINING, Phase.RELEARNING):
-            platform_answered = await self._read_platform()
+            platform_answered = await self.reader.read_now()
             peer_answered = await self._ask_peers()
             known = self.config is not None and self.membership.list.revision > 0
             alone = not self.membership.peers()
             if known and (peer_answered or platform_answered or alone):
                 self._life.heard()
                 self._note_phase()
-                for peer in self._near_peers():
+                for peer in self.near_peers(usable=False):
                     self.probe(peer)
                 return
-            await deferLater(self._reactor, RETRY_S, lambda: None)
-
-    async def _read_platform(self) -> bool:
-        try:
-            await self._read_list(0)
-            await self._read_config(0)
-        except Exception:
-            self.platform_failures += 1
-            return False
-        return True
+            await deferLater(self._reactor, LEARN_AGAIN_S, lambda: None)
 
     async def _ask_peers(self) -> bool:
         """Ask some peers how they stand and take what is newer; say if one did."""
@@ -268,7 +255,7 @@
         self._fetching.add("config")
         try:
             version, document = await self._peers.get_config(address)
-            self._take_config(version, document)
+            self.take_config(version, document)
         except Exception as exc:
             log.warning("a peer's configuration was not read", extra={"why": repr(exc)})
         finally:
@@ -280,61 +267,23 @@
             return
         self._fetching.add("list")
         try:
-            self._take_list(await self._peers.get_list(address))
+            self.take_list(await self._peers.get_list(address))
         except Exception as exc:
             log.warning("a peer's list was not read", extra={"why": repr(exc)})
         finally:
             self._fetching.discard("list")
 
-    async def _watch_config(self) -> None:
-        while self.record.phase is not Phase.STOPPED:
-            await self._watch_once(self._read_config)
+    def held_versions(self) -> tuple[int, int]:
+        """Return the newest known versions of the configuration and of the list."""
+        held = self.config.version if self.config is not None else 0
+        return max(held, self._refused_version), self.membership.list.revision
 
-    async def _watch_list(self) -> None:
-        while self.record.phase is not Phase.STOPPED:
-            await self._watch_once(self._read_list)
+    def is_stopped(self) -> bool:
+        """Return whether the process is at its end."""
+        return self.record.phase is Phase.STOPPED
 
-    async def _watch_once(self, read: Any) -> None:
-        is_reader = self._is_reader()
-        if not is_reader:
-            await deferLater(self._reactor, READER_CHECK_S, lambda: None)
-            if self._rng.random() >= self._spot_check_share():
-                return
-        try:
-            await read(WATCH_S if is_reader else 0)
-        except Exception:
-            self.platform_failures += 1
-            await deferLater(self._reactor, RETRY_S, lambda: None)
-
-    def _spot_check_share(self) -> float:
-        """Return how often an instance that is no reader looks for itself.
-
-        The readers may be the ones that are cut off from the platform. The others of a
-        data centre make one call a second together, however many they are.
-        """
-        others = len(self._near_peers()) + 1 - READERS_PER_DATA_CENTRE
-        return 1 / max(1, others)
-
-    def _is_reader(self) -> bool:
-        near = [name for name in self._near_peers() if self.membership.usable(name)]
-        return is_reader(self._name, near)
-
-    async def _read_config(self, wait_s: float) -> None:
-        self.platform_calls += 1
-        after = self.config.version if self.config is not None else 0
-        after = max(after, self._refused_version)
-        found = await self._platform.watch_config(after, wait_s)
-        if found is not None:
-            self._take_config(*found)
-
-    async def _read_list(self, wait_s: float) -> None:
-        self.platform_calls += 1
-        after = self.membership.list.revision
-        found = await self._platform.watch_list(after, wait_s)
-        if found is not None:
-            self._take_list(found)
-
-    def _take_config(self, version: int, document: bytes) -> None:
+    def take_config(self, version: int, document: bytes) -> None:
+        """Take a configuration, if it is newer and valid."""
         if not is_newer(version, self.config):
             return
         parsed = parse_config(version, document)
@@ -351,7 +300,8 @@
         self._listener.on_fleet_change()
         self._push()
 
-    def _take_list(self, listed: InstanceList) -> None:
+    def take_list(self, listed: InstanceList) -> None:
+        """Take an instance list, if it is newer."""
         if self.membership.take_list(listed, self._clock.now()):
             log.info("an instance list counts", extra={"revision": listed.revision})
             self._listener.on_list(listed)
--- a/currantwharf/node/status.py
+++ b/currantwharf/node/status.py
@@ -27,8 +27,8 @@
             "refused": fleet.refused,
         },
         "platform": {
-            "calls": fleet.platform_calls,
-            "failures": fleet.platform_failures,
+            "calls": fleet.reader.calls,
+            "failures": fleet.reader.failures,
             "list_revision": fleet.membership.list.revision,
         },
         "members": {
--- a/currantwharf/owner/actions.py
+++ b/currantwharf/owner/actions.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from currantwharf.owner.abandon import Abandon
 from currantwharf.wire import Reason, ShardRequest
 
 
@@ -36,11 +37,4 @@
     at: float
 
 
-@dataclass(frozen=True, slots=True)
-class Abandon:
-    """Give up a call whose connection has gone silent, and close the connection."""
-
-    call: int
-
-
 GateAction = Dispatch | Refuse | Abort | WakeAt | Abandon
--- a/currantwharf/query/running_query.py
+++ b/currantwharf/query/running_query.py
@@ -8,7 +8,7 @@
 import random
 from functools import singledispatchmethod
 
-from currantwharf.query.actions import Finish, QueryAction, SendToOwner
+from currantwharf.query.actions import Finish, QueryAction
 from currantwharf.query.caller_request import CallerRequest
 from currantwharf.query.class_controller import ClassController
 from currantwharf.query.coverage import Coverage
@@ -16,10 +16,10 @@
 from currantwharf.query.merge import merge_hits
 from currantwharf.query.pinned_snapshot import pin_snapshot
 from currantwharf.query.query_result import QueryResult
-from currantwharf.query.router import Route, Router
+from currantwharf.query.router import Router
 from currantwharf.query.shard_progress import Attempt, ShardProgress
+from currantwharf.query.shard_sender import ShardSender
 from currantwharf.wire import (
-    Cancel,
     Hit,
     Outcome,
     Reason,
@@ -29,7 +29,6 @@
 
 MOST_SENDS = 4  # sends of one shard in one query
 RETRY_WAIT_S = 0.01  # seconds before the first retry on the same set of replicas
-HOP_MARGIN_MS = 4.0  # milliseconds kept back from the budget of each hop
 MOST_RESTARTS = 1  # restarts of the whole query on a newer index version
 
 SNAPSHOT_REASONS = frozenset({Reason.VERSION_GONE, Reason.SHARD_MOVED})
@@ -57,9 +56,7 @@
         self._controller = controller
         self._rng = rng
         self._started_at = now
-        self._attempts = 0
-        self._sends = 0
-        self._extras = 0
+        self._sender = ShardSender(query, request, router)
         self._restarts = 0
         self._finished = False
         self._last_reason = Reason.NO_REPLICA
@@ -178,45 +175,15 @@
 
     def _send(
         self, name: str, now: float, actions: list[QueryAction], extra: bool
-    ) -> bool:
+    ) -> None:
         shard = self._shards[name]
-        route = self._find_route(shard, now)
-        if route is None:
+        version = self._snapshot.index_version
+        action = self._sender.send(name, shard, version, extra, now)
+        if action is None:
             self._plan_retry(shard, now, extra=False)
-            return False
-        self._attempts += 1
-        shard.attempts[self._attempts] = Attempt(route.server, route.owner, now)
-        shard.tried.add(route.server)
-        shard.sends += 1
-        shard.retry_at = None
-        self._sends += not extra
-        self._extras += extra
-        self._router.stats.on_send(route.server)
-        actions.append(SendToOwner(route.owner, self._shard_request(name, route, now)))
+            return
+        actions.append(action)
         self._note_wake(shard, self._controller.policy(now).hedge_after_s)
-        return True
-
-    def _find_route(self, shard: ShardProgress, now: float) -> Route | None:
-        busy = {attempt.server for attempt in shard.attempts.values()}
-        fresh = self._router.choose(shard.servers, shard.tried | busy, now)
-        if fresh is not None or shard.attempts:
-            return fresh
-        # Every replica has been tried and none is busy with this shard.
-        return self._router.choose(shard.servers, busy, now)
-
-    def _shard_request(self, name: str, route: Route, now: float) -> ShardRequest:
-        return ShardRequest(
-            self.query,
-            self._attempts,
-            self.request.class_name,
-            name,
-            route.server,
-            self._snapshot.index_version,
-            (self.request.deadline - now) * 1000 - HOP_MARGIN_MS,
-            True,
-            self.request.fingerprint,
-            self.request.body,
-        )
 
     def _should_hedge(
         self, shard: ShardProgress, hedge_after: float, now: float
@@ -231,7 +198,7 @@
         shard.hedged = True
         (slow,) = shard.attempts.values()
         self._router.stats.on_slow(slow.server, (now - slow.sent_at) * 1000, now)
-        if self._find_route(shard, now) and self._controller.budget.take(now):
+        if self._sender.find_route(shard, now) and self._controller.budget.take(now):
             self._send(name, now, actions, extra=True)
 
     def _retry(self, name: str, now: float, actions: list[QueryAction]) -> None:
@@ -263,7 +230,7 @@
         del shard.attempts[message.attempt]
         shard.hits = message.hits
         self._answered += 1
-        actions = self._cancel_attempts(shard, now)
+        actions = self._sender.cancel(shard, now)
         if self._answered == len(self._shards) or self._may_answer_now(now):
             actions.extend(self._finish())
         return actions
@@ -307,25 +274,11 @@
         """Begin again on the newest snapshot; answers to the old one are dropped."""
         actions: list[QueryAction] = []
         for shard in self._shards.values():
-            actions.extend(self._cancel_attempts(shard, now))
+            actions.extend(self._sender.cancel(shard, now))
         self._restarts += 1
         self._pin()
         return actions + self.start(now)
 
-    def _cancel_attempts(
-        self, shard: ShardProgress, now: float | None
-    ) -> list[QueryAction]:
-        actions: list[QueryAction] = []
-        for number, attempt in shard.attempts.items():
-            self._router.stats.on_end(attempt.server)
-            if now is not None:
-                waited_ms = (now - attempt.sent_at) * 1000
-                self._router.stats.on_slow(attempt.server, waited_ms, now)
-            cancel = Cancel(self.query, number, attempt.server)
-            actions.append(SendToOwner(attempt.owner, cancel))
-        shard.attempts.clear()
-        return actions
-
     def _may_answer_now(self, now: float) -> bool:
         answer_after = self._controller.policy(now).answer_after_s
         if answer_after is None or now < self._started_at + answer_after:
@@ -349,14 +302,14 @@
             outcome, reason = Outcome.ANSWERED, Reason.NONE
             groups = [s.hits for s in self._shards.values() if s.hits is not None]
             hits = merge_hits(groups)
-        elif self._sends + self._extras == 0:
+        elif self._sender.sends + self._sender.extras == 0:
             outcome, reason = Outcome.NOT_RUN, self._last_reason
         else:
             held = Reason.QUARANTINED if self._is_held else Reason.COVERAGE_TOO_LOW
             outcome, reason = Outcome.UNKNOWN, held
         actions: list[QueryAction] = []
         for shard in self._shards.values():
-            actions.extend(self._cancel_attempts(shard, None))
+            actions.extend(self._sender.cancel(shard, None))
         self._finished = True
         result = QueryResult(
             self.request.request_id,
@@ -367,8 +320,8 @@
             self._snapshot.index_version,
             coverage,
             hits,
-            self._sends,
-            self._extras,
+            self._sender.sends,
+            self._sender.extras,
             self._restarts,
         )
         return [*actions, Finish(result)]
