Let an owner doubt itself before others take its servers over

The side that is left learns of the cut at its own pace, up to seconds after the other.

Change: a suspected peer no longer counts as heard when an owner asks whether it is the one cut off; under a suspicion an instance probes ten times a second; a peer call that takes more than 1 s is a suspicion. An owner in doubt halves a warm server and leaves a cold one alone. A new owner waits 2 s where a higher-ranking instance may run unheard. So doubt (at most 3.3 s after a cut at nine instances) comes before takeover (at least 5 s). Halving at each change of the fleet, again and again, is gone.

Conclusion: the two limits no longer overlap on a cold server, at the price of 2 s without the servers of a silent owner, for which other replicas answer.

--- a/currantwharf/adapters/peer_client.py
+++ b/currantwharf/adapters/peer_client.py
@@ -12,7 +12,7 @@
 from currantwharf.wire import MemberNews, Reply, unpack_reply
 
 CONNECTIONS = 4  # idle connections kept to each peer
-CALL_S = 2.0  # seconds for one call
+CALL_S = 1.0  # seconds for one call; a peer that takes longer is suspected
 
 
 class PeerClient:
--- a/currantwharf/fleet/membership.py
+++ b/currantwharf/fleet/membership.py
@@ -101,6 +101,14 @@
         member = self.members.get(name)
         return member is not None and member.state is MemberState.GONE
 
+    def is_suspected(self, name: str) -> bool:
+        """Return whether the last probe of `name` failed without a refusal."""
+        return name in self._suspected
+
+    def has_suspicions(self) -> bool:
+        """Return whether any member is suspected now."""
+        return bool(self._suspected)
+
     def take_news(self, news: tuple[MemberNews, ...], now: float) -> None:
         """Take rumours in; a rumour of this process itself is refuted."""
         for rumour in news:
--- a/currantwharf/fleet/owners.py
+++ b/currantwharf/fleet/owners.py
@@ -7,7 +7,7 @@
 
 from currantwharf.config import PublishedConfig
 from currantwharf.fleet.membership import Membership
-from currantwharf.fleet.rendezvous import highest
+from currantwharf.fleet.rendezvous import highest, score
 
 
 class Owners:
@@ -24,6 +24,7 @@
         self._seen: tuple[int, bool] = (-1, False)
         self._owner_of: dict[str, str | None] = {}
         self._candidates: dict[str, list[str]] = {}
+        self._heard: dict[frozenset[str], bool] = {}
 
     def set_self_usable(self, usable: bool) -> None:
         """Say whether this process itself may own servers."""
@@ -41,6 +42,7 @@
         """Drop the kept answers, after a change of configuration."""
         self._owner_of.clear()
         self._candidates.clear()
+        self._heard.clear()
 
     def candidates(self, data_centre: str, config: PublishedConfig) -> list[str]:
         """Return the instances that may own servers of `data_centre`.
@@ -56,14 +58,50 @@
         return self._candidates[data_centre]
 
     def sees_majority(self) -> bool:
-        """Return whether most instances listed in this data centre are usable.
+        """Return whether most instances of this data centre are heard without doubt.
 
-        Without that, this process may be the one that is cut off: it takes over no
-        server from an instance that it merely can't hear.
+        Without that, this process may be the one that is cut off. A suspected peer
+        counts as unheard here, so that the process doubts itself before the others
+        declare it dead and take its servers over.
         """
-        listed = self._listed_in({self._data_centre})
-        usable = [name for name in listed if self._is_usable(name)]
-        return _is_majority(usable, listed)
+        return self._hears_most({self._data_centre})
+
+    def is_doubtful(self, server: str, config: PublishedConfig) -> bool:
+        """Return whether others may have taken `server` over from this process."""
+        home = config.servers[server].data_centre
+        if self._listed_in({home}):
+            return not self.sees_majority()
+        region = config.data_centres[home].region
+        near = {n for n, dc in config.data_centres.items() if dc.region == region}
+        pool = near if self._listed_in(near) else set(config.data_centres)
+        return not self._hears_most(pool)
+
+    def has_silent_rival(self, server: str, config: PublishedConfig) -> bool:
+        """Return whether an instance that may run unheard ranks higher for `server`."""
+        home = config.servers[server].data_centre
+        centres = {home} if self._listed_in({home}) else set(config.data_centres)
+        mine = score(server, self._membership.instance)
+        return any(
+            score(server, name) > mine
+            for name in self._listed_in(centres)
+            if not self._is_usable(name)
+        )
+
+    def _hears_most(self, centres: set[str]) -> bool:
+        self._forget_if_changed()
+        key = frozenset(centres)
+        if key not in self._heard:
+            self._heard[key] = self._count_heard(centres)
+        return self._heard[key]
+
+    def _count_heard(self, centres: set[str]) -> bool:
+        listed = self._listed_in(centres)
+        heard = [
+            name
+            for name in listed
+            if self._is_usable(name) and not self._membership.is_suspected(name)
+        ]
+        return _is_majority(heard, listed)
 
     def _find_candidates(self, data_centre: str, config: PublishedConfig) -> list[str]:
         listed = self._listed_in({data_centre})
--- a/currantwharf/node/fleet_task.py
+++ b/currantwharf/node/fleet_task.py
@@ -162,7 +162,9 @@
         self.observe_time()
         now = self._clock.now()
         if now >= self._next_probe:
-            self._next_probe = now + HEARTBEAT_S
+            # Under a suspicion a process finds out fast whether it is the one cut off.
+            doubt = self.membership.has_suspicions()
+            self._next_probe = now + (TICK_S if doubt else HEARTBEAT_S)
             peer = self.membership.tick(now)
             if peer is not None:
                 self.probe(peer)
--- a/currantwharf/node/instance.py
+++ b/currantwharf/node/instance.py
@@ -196,8 +196,7 @@
         """Take up and let go of servers after a change in the fleet."""
         if self.fleet.config is not None:
             self.owner.crashes.release(self.fleet.config.config.released)
-            cut_off = not self.fleet.owners.sees_majority()
-            self.owner.sync(self.fleet.config, cut_off and self.is_ready())
+            self.owner.sync(self.fleet.config, self.fleet.owners)
 
     def on_list(self, listed: InstanceList) -> None:
         """Note who the holders of request ids are now."""
--- a/currantwharf/node/owner_task.py
+++ b/currantwharf/node/owner_task.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import CancelledError, ensureDeferred
 
 from currantwharf.config import BackendServer, VersionedConfig
+from currantwharf.fleet import Owners
 from currantwharf.metrics import Recorder
 from currantwharf.node.clock import Clock
 from currantwharf.node.interfaces import BackendCalls
@@ -14,6 +15,7 @@
 from currantwharf.node.part_log import part_log
 from currantwharf.node.post import Post
 from currantwharf.owner import (
+    SILENT_TAKEOVER_WAIT_S,
     TAKEOVER_WAIT_S,
     Abandon,
     Abort,
@@ -82,11 +84,8 @@
         """Take a message of another instance or of this one."""
         self._on_message(message, sender)
 
-    def sync(self, versioned: VersionedConfig, cut_off: bool) -> None:
-        """Take up the servers that are newly owned and let go of the others.
-
-        `cut_off` halves every limit: this instance sees too few of its peers.
-        """
+    def sync(self, versioned: VersionedConfig, owners: Owners) -> None:
+        """Take up the servers that are newly owned and let go of the others."""
         now = self._clock.now()
         servers = versioned.config.servers
         for server in list(self._owned):
@@ -97,11 +96,13 @@
                 continue
             owned = self._owned.get(server)
             if owned is None or owned.released or owned.declared != declared:
-                owned = self._take_up(server, declared, now)
+                silent = owners.has_silent_rival(server, versioned.config)
+                wait_s = SILENT_TAKEOVER_WAIT_S if silent else TAKEOVER_WAIT_S
+                owned = self._take_up(server, declared, wait_s, now)
             may_work = self._router.may_take_work(server, versioned.config)
             self._perform(owned, owned.gate.set_leaving(not may_work))
-            if cut_off:
-                owned.gate.limit.halve()
+            doubtful = owners.is_doubtful(server, versioned.config)
+            self._perform(owned, owned.gate.set_doubtful(doubtful))
 
     @singledispatchmethod
     def _on_message(self, message: PeerMessage, sender: str) -> None:
@@ -139,7 +140,9 @@
             limit, boot_id = message.limit, message.boot_id
             self._perform(owned, owned.gate.take_over(limit, boot_id, now))
 
-    def _take_up(self, server: str, declared: BackendServer, now: float) -> OwnedServer:
+    def _take_up(
+        self, server: str, declared: BackendServer, wait_s: float, now: float
+    ) -> OwnedServer:
         old = self._owned.get(server)
         if old is not None and old.declared.address == declared.address:
             old.declared = declared
@@ -147,7 +150,7 @@
             old.gate.limit.slots = declared.slots
             old.gate.batch = declared.batch
             return old
-        gate = ServerGate(server, declared.slots, declared.batch, now, TAKEOVER_WAIT_S)
+        gate = ServerGate(server, declared.slots, declared.batch, now, wait_s)
         owned = OwnedServer(declared, gate, self._make_client(declared))
         self._owned[server] = owned
         return owned
--- a/currantwharf/owner/__init__.py
+++ b/currantwharf/owner/__init__.py
@@ -18,10 +18,15 @@
 from currantwharf.owner.condition import Condition
 from currantwharf.owner.crash_table import CrashTable, crash_key, fingerprint_of
 from currantwharf.owner.limit import ServerLimit
-from currantwharf.owner.server_gate import TAKEOVER_WAIT_S, ServerGate
+from currantwharf.owner.server_gate import (
+    SILENT_TAKEOVER_WAIT_S,
+    TAKEOVER_WAIT_S,
+    ServerGate,
+)
 from currantwharf.owner.shard_answers import answers_for, refusal
 
 __all__ = [
+    "SILENT_TAKEOVER_WAIT_S",
     "TAKEOVER_WAIT_S",
     "Abandon",
     "Abort",
--- a/currantwharf/owner/limit.py
+++ b/currantwharf/owner/limit.py
@@ -67,10 +67,6 @@
         """Start from the cold limit: the server is gone or has restarted."""
         self._begin_boot("")
 
-    def halve(self) -> None:
-        """Halve the limit but keep at least one request; sight of peers is lost."""
-        self.value = max(COLD_LIMIT, self.value * SHRINK_ON_SHED)
-
     def take_over(self, value: float, boot_id: str) -> None:
         """Begin where the former owner stopped, for the same boot of the server."""
         self.value = min(float(self.slots), max(LEAST_LIMIT, value))
--- a/currantwharf/owner/server_gate.py
+++ b/currantwharf/owner/server_gate.py
@@ -37,6 +37,7 @@
 SILENT_S = 0.1  # seconds before a connection may count as silent
 SILENT_ANSWERS = 8.0  # times the usual service time
 TAKEOVER_WAIT_S = 0.3  # seconds a new owner waits for the former one to let go
+SILENT_TAKEOVER_WAIT_S = 2.0  # seconds, where the former one may run unheard
 
 
 @dataclass(order=True, slots=True)
@@ -79,6 +80,8 @@
         self._closed_until = now + wait_s
         self._next_start = now
         self._answered_at = float("-inf")
+        self._doubt_cap: int | None = None
+        self._doubt_boot = ""
 
     @property
     def queue_length(self) -> int:
@@ -91,6 +94,8 @@
             return [Refuse(request, Reason.SERVER_LEAVING)]
         if self._is_lost(now):
             return [Refuse(request, Reason.SERVER_LOST)]
+        if self._doubt_cap is not None and not self._cap_in_doubt():
+            return [Refuse(request, Reason.NOT_OWNER)]
         if self.queue_length >= QUEUE_LIMIT or self._is_hopeless(request):
             return [Refuse(request, Reason.OVERLOADED)]
         self._arrivals += 1
@@ -143,7 +148,8 @@
             self.limit.on_shed()
             self._next_start = now + max(self.limit.usual_ms, 1.0) / 1000
         elif ItemOutcome.CANCELLED not in outcomes:
-            at_full_use = len(self.in_flight) + 1 >= int(self.limit.value)
+            full = len(self.in_flight) + 1 >= int(self.limit.value)
+            at_full_use = full and self._doubt_cap is None
             self.limit.on_good_answer(answer.service_ms, answer.boot_id, at_full_use)
         if answer.leaving:
             return self.set_leaving(True)
@@ -167,6 +173,24 @@
         self._watch.leaves()
         return self._refuse_all(Reason.SERVER_LEAVING)
 
+    def set_doubtful(self, doubtful: bool) -> list[GateAction]:
+        """Note whether others may have taken the server over from this process.
+
+        A warm server is used at half its limit then, which leaves room for the new
+        owner's first requests. A cold one bears no second owner, so it is left alone.
+        """
+        if not doubtful:
+            self._doubt_cap = None
+            return []
+        if self._doubt_cap is None:
+            self._doubt_cap = int(self.limit.value / 2)
+            self._doubt_boot = self.limit.boot_id
+        return [] if self._cap_in_doubt() else self._refuse_all(Reason.NOT_OWNER)
+
+    def _cap_in_doubt(self) -> int:
+        same_boot = self.limit.boot_id == self._doubt_boot
+        return self._doubt_cap or 0 if same_boot else 0
+
     def release(self, reason: Reason) -> list[GateAction]:
         """Give up the server to another owner: refuse all that waits."""
         return self._refuse_all(reason)
@@ -223,7 +247,7 @@
         if self._is_lost(now):
             return False
         if self.record.condition is Condition.LOST:
-            return not self.in_flight
+            return not self.in_flight and self._doubt_cap is None
         return self._free(now) > 0
 
     def _free(self, now: float) -> int:
@@ -236,9 +260,12 @@
         one request until it has answered under the same boot id.
         """
         fresh_s = max(FRESH_S, FRESH_ANSWERS * self.limit.usual_ms / 1000)
+        allowed = max(1, int(self.limit.value))
         if now - self._answered_at > fresh_s:
-            return 1
-        return max(1, int(self.limit.value))
+            allowed = 1
+        if self._doubt_cap is not None:
+            allowed = min(allowed, self._cap_in_doubt())
+        return allowed
 
     def _pace(self, now: float) -> None:
         """Below a limit of 1, leave the server idle between two requests."""
--- a/currantwharf/owner/tests/test_server_gate.py
+++ b/currantwharf/owner/tests/test_server_gate.py
@@ -160,6 +160,32 @@
             gate.submit(make_shard_request(name), 0.1)
         self.assertEqual(len(dispatches(gate.run(TAKEOVER_WAIT_S))), 1)
 
+    def test_doubtful_owner_halves_a_warm_server(self) -> None:
+        gate = make_gate(slots=4)
+        now = warm_up(gate)
+        gate.set_doubtful(True)
+        for number in range(8):
+            gate.submit(make_shard_request(f"q{number}"), now)
+        self.assertEqual(len(gate.in_flight), 2)
+        gate.set_doubtful(False)
+        gate.run(now)
+        self.assertEqual(len(gate.in_flight), 4)
+
+    def test_doubtful_owner_leaves_a_cold_server_alone(self) -> None:
+        gate = make_gate()
+        gate.set_doubtful(True)
+        (refused,) = gate.submit(make_shard_request("a"), 1.0)
+        self.assertEqual(refused.reason, Reason.NOT_OWNER)
+
+    def test_server_that_turns_cold_in_doubt_is_left_alone(self) -> None:
+        gate = make_gate()
+        now = warm_up(gate)
+        gate.set_doubtful(True)
+        (sent,) = dispatches(gate.submit(make_shard_request("a"), now))
+        gate.finish(sent.call, make_backend_answer(boot_id="boot-2"), now)
+        (refused,) = gate.submit(make_shard_request("b"), now)
+        self.assertEqual(refused.reason, Reason.NOT_OWNER)
+
     def test_one_call_carries_many_requests(self) -> None:
         gate = make_gate(batch=8)
         (first,) = dispatches(gate.submit(make_shard_request("a"), 1.0))
