Show latency histograms, and say what fits the target's size

Cause: the demo printed quantiles only; the capacity page had no text and batched the calls between instances far beyond what 709 peers allow. Conclusion: relays and one message a query and owner come next.

--- a/currantwharf/bench/__init__.py
+++ b/currantwharf/bench/__init__.py
@@ -3,7 +3,7 @@
 from currantwharf.bench.experiment import ClassLoad, Event, Experiment, Phase
 from currantwharf.bench.load import LoadGenerator, PhaseResult
 from currantwharf.bench.load_experiment import load_experiment
-from currantwharf.bench.report import compare, summarize, table
+from currantwharf.bench.report import compare, histograms, summarize, table
 
 __all__ = [
     "ClassLoad",
@@ -13,6 +13,7 @@
     "Phase",
     "PhaseResult",
     "compare",
+    "histograms",
     "load_experiment",
     "summarize",
     "table",
--- a/currantwharf/bench/capacity.py
+++ b/currantwharf/bench/capacity.py
@@ -13,6 +13,8 @@
 SPOT_CHECKS = 2  # a second in each data centre, one for each published value
 READERS = 2  # in each data centre
 WATCH_S = 2.0  # seconds
+REPLY_S = 0.015  # seconds that a call between instances is open, as a rule
+RELAY_BATCH_S = 0.02  # seconds for which a relay collects
 VALUES = 2  # published values that are watched
 
 
@@ -52,6 +54,8 @@
         _slopes_table(series, lines),
         "\n### Processor time of a daemon for the load, in cores\n",
         _terms_table(_load_terms(lines)),
+        "\n### Calls between instances by relays, a call in 20 ms on each link\n",
+        _relay_table(lines),
         "\n### Control of a daemon\n",
         _control_table(lines),
     ]
@@ -79,15 +83,38 @@
         return Term(name, today, target, mechanism)
 
     call_us = lines["fanout_cpu"].slope * 1000
+    both_ends_us = 2 * call_us
     return [
         term("entry: decisions", lines["query"].slope, (1, 1), "running query"),
         term("codec of envelopes", lines["envelope"].slope, (1, 1), "envelopes"),
         term("owner: gate", lines["gate"].slope, (1, 1), "server gate"),
         term("calls to servers", call_us, (1, 256), "`batch` in one call"),
-        term("calls between instances", call_us, (2, 256), "outbox for each peer"),
+        term(
+            "calls between instances, each to each",
+            both_ends_us,
+            _per_call(),
+            "outbox for each peer, answers on the reply",
+        ),
     ]
 
 
+def _per_call() -> tuple[int, int]:
+    """Return how many messages share a call between two instances.
+
+    Today a query's shards share one call to each owner. At the target a daemon has so
+    few messages a second for each of 709 peers that nearly each travels alone.
+    """
+    peers = TODAY.daemons - 1
+    per_peer = TARGET.queries * TARGET.fan_out / TARGET.daemons / TARGET.daemons
+    return max(1, TODAY.fan_out // peers), max(1, int(per_peer * REPLY_S))
+
+
+def _relayed_cores(lines: dict[str, Line], links: int) -> float:
+    """Return the cores for calls over `links`, each with a call in every 20 ms."""
+    call_us = 2 * lines["fanout_cpu"].slope * 1000
+    return links / RELAY_BATCH_S * call_us / CORE_US
+
+
 def _terms_table(terms: list[Term]) -> str:
     rows = ["| term | today | target | carried by |", "|---|---|---|---|"]
     for one in terms:
@@ -99,6 +126,19 @@
     return "\n".join(rows)
 
 
+def _relay_table(lines: dict[str, Line]) -> str:
+    near = TARGET.daemons // TARGET.data_centres
+    step = round(near**0.5)
+    far = TARGET.data_centres
+    rows = ["| way | links of a daemon | cores at the target |", "|---|---|---|"]
+    for name, links in (
+        ("one relay in each data centre", far + near),
+        ("two levels of relays in each data centre", far + 2 * step),
+    ):
+        rows.append(f"| {name} | {links} | {_relayed_cores(lines, links):.2f} |")
+    return "\n".join(rows)
+
+
 def _control_table(lines: dict[str, Line]) -> str:
     rows = ["| budget | today | target | allowed | margin |", "|---|---|---|---|---|"]
     for name, allowed, figure in (
--- a/currantwharf/bench/report.py
+++ b/currantwharf/bench/report.py
@@ -3,7 +3,9 @@
 from typing import Any
 
 from currantwharf.bench.load import PhaseResult
+from currantwharf.metrics.class_histograms import BUCKETS_MS
 
+BAR_WIDTH = 14  # characters
 HEADER = (
     f"{'phase':<22}{'class':<16}{'count':>6}{'p50':>8}{'p90':>8}{'p99':>8}"
     f"{'p99.9':>8}{'coverage':>10}{'whole':>8}  outcomes"
@@ -38,6 +40,29 @@
     return "\n".join(lines)
 
 
+def histograms(summary: list[dict[str, Any]]) -> str:
+    """Return the latency histogram of each class, a column for each phase."""
+    lines = []
+    names = sorted({name for phase in summary for name in phase["classes"]})
+    bounds = [f"to {bound} ms" for bound in BUCKETS_MS]
+    bounds.append(f"above {BUCKETS_MS[-1]} ms")
+    for name in names:
+        phases = [phase for phase in summary if name in phase["classes"]]
+        columns = [phase["classes"][name]["latency_buckets"] for phase in phases]
+        heads = "".join(f"{phase['phase']:>22}" for phase in phases)
+        lines.append(f"{name:<16}{heads}")
+        for number, bound in enumerate(bounds):
+            cells = [_bar(column[number], sum(column)) for column in columns]
+            lines.append(f"{bound:<16}" + "".join(f"{cell:>22}" for cell in cells))
+        lines.append("")
+    return "\n".join(lines)
+
+
+def _bar(count: int, total: int) -> str:
+    width = round(BAR_WIDTH * count / total) if total else 0
+    return f"{'#' * width} {count:>5}" if count else "."
+
+
 def compare(before: list[dict[str, Any]], after: list[dict[str, Any]]) -> str:
     """Return a table of the ratios of two runs' latencies, phase by phase."""
     lines = [f"{'phase':<22}{'class':<16}{'p50':>16}{'p99':>16}{'p99.9':>16}"]
--- a/currantwharf/cli/demo_command.py
+++ b/currantwharf/cli/demo_command.py
@@ -25,7 +25,7 @@
 @click.argument("experiment", type=click.Path(path_type=Path, exists=True))
 def demo(experiment: Path) -> None:
     """Ask a running demo site, break it under load, and show what callers got."""
-    from currantwharf.bench import load_experiment, table
+    from currantwharf.bench import histograms, load_experiment, table
 
     plan = loaded_or_exit(load_experiment(experiment))
     for address in plan.instances:
@@ -36,6 +36,7 @@
     click.echo("\nNow under load. Latencies in ms, from the intended send time:\n")
     summary = run_experiment(plan)
     click.echo(table(summary))
+    click.echo("\n" + histograms(summary))
 
 
 def _show_sample(address: str, class_name: str, text: str) -> None:
--- a/currantwharf/metrics/class_histograms.py
+++ b/currantwharf/metrics/class_histograms.py
@@ -1,5 +1,6 @@
 """The histograms of one class or of one caller of it."""
 
+from bisect import bisect_left
 from dataclasses import dataclass, field
 
 from hdrh.histogram import HdrHistogram
@@ -8,6 +9,7 @@
 PRECISION = 2  # significant digits
 PER_MILLE = 1000  # coverage and extra load are recorded in thousandths
 MOST_PER_MILLE = 4 * PER_MILLE
+BUCKETS_MS = (5, 10, 20, 50, 100, 200, 500, 1000)  # upper bounds of the shown buckets
 
 
 def _latency() -> HdrHistogram:
@@ -51,6 +53,7 @@
             "count": count,
             "outcomes": dict(self.outcomes),
             "whole_share": round(self.whole / count, 4) if count else None,
+            "latency_buckets": self.latency_buckets(),
             "latency_ms": {
                 f"p{p:g}": round(self.latency.get_value_at_percentile(p) / 1000, 3)
                 for p in (50, 90, 99, 99.9)
@@ -60,3 +63,13 @@
             "coverage_p1": self.coverage.get_value_at_percentile(1) / PER_MILLE,
             "extra_load_p99": self.extra_load.get_value_at_percentile(99) / PER_MILLE,
         }
+
+    def latency_buckets(self) -> list[int]:
+        """Return the requests in each bucket, and last those above all of them."""
+        counts = [0] * (len(BUCKETS_MS) + 1)
+        for step in self.latency.get_recorded_iterator():
+            latency_ms = step.value_iterated_to / 1000
+            counts[bisect_left(BUCKETS_MS, latency_ms)] += (
+                step.count_at_value_iterated_to
+            )
+        return counts
