--- a/currantwharf/tests/fake_world.py
+++ b/currantwharf/tests/fake_world.py
@@ -14,11 +14,11 @@
 from twisted.internet.task import deferLater
 
 from currantwharf.adapters.caller_body import parse_caller_request
-from currantwharf.config import PublishedConfig
+from currantwharf.config import BackendServer, PublishedConfig
 from currantwharf.demo.site_plan import SitePlan, config_of, encode
 from currantwharf.fleet import InstanceList, ListedInstance
 from currantwharf.node import Instance
-from currantwharf.node.interfaces import Interfaces
+from currantwharf.node.interfaces import BackendCalls, Interfaces
 from currantwharf.query import QueryResult
 from currantwharf.standin import Backend, Platform, PlatformValue
 from currantwharf.tests.builders import make_settings
@@ -32,7 +32,13 @@
 class FakeWorld:
     """Hold the processes of a small site and what joins or parts them."""
 
-    def __init__(self, plan: SitePlan, seed: int = 1) -> None:
+    def __init__(
+        self,
+        plan: SitePlan,
+        seed: int = 1,
+        make_backend: Callable[[BackendServer], BackendCalls] | None = None,
+    ) -> None:
+        self._make_backend = make_backend
         self.clock = FakeReactor()
         self.config: PublishedConfig = config_of(plan)
         self.platform = Platform()
@@ -101,7 +107,8 @@
         interfaces = Interfaces(
             FakePeers(self, name),
             FakePlatform(self, name),
-            lambda declared: FakeBackend(self, name, self._server_at(declared.address)),
+            self._make_backend
+            or (lambda d: FakeBackend(self, name, self._server_at(d.address))),
         )
         rng = random.Random(self._seed * 1000 + self._boots)
         settings = make_settings(name, self.listed[name].data_centre)
