--- /dev/null
+++ b/currantwharf/metrics/tests/test_recorder.py
@@ -0,0 +1,40 @@
+import unittest
+
+from currantwharf.metrics import NoSink, Recorder
+from currantwharf.metrics.recorder import MOST_CALLERS
+from currantwharf.query import Coverage, QueryResult
+from currantwharf.wire import Outcome, Reason
+
+
+def make_result(caller: str, answered: int = 2) -> QueryResult:
+    return QueryResult(
+        "r1",
+        "grain-lookup",
+        caller,
+        Outcome.ANSWERED,
+        Reason.NONE,
+        "index-1",
+        Coverage(answered, 2),
+        sends=2,
+        extra_sends=1,
+    )
+
+
+class RecorderTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.recorder = Recorder(NoSink())
+
+    def test_flood_of_callers_is_bounded(self) -> None:
+        for number in range(10 * MOST_CALLERS):
+            self.recorder.record(make_result(f"caller-{number}"), 0.01)
+        found = self.recorder.summary()["classes"]["grain-lookup"]
+        self.assertEqual(len(found["callers"]), MOST_CALLERS + 1)
+        self.assertEqual(found["count"], 10 * MOST_CALLERS)
+
+    def test_shares_are_means_of_what_was_recorded(self) -> None:
+        self.recorder.record(make_result("a", 2), 0.01)
+        self.recorder.record(make_result("a", 1), 0.01)
+        found = self.recorder.summary()["classes"]["grain-lookup"]
+        self.assertEqual(found["coverage_mean"], 0.75)
+        self.assertEqual(found["extra_load_mean"], 0.5)
+        self.assertEqual(found["whole_share"], 0.5)
