Make the one file run on a bare interpreter

Cause: the binary's check ran it with the virtual environment's interpreter, whose libraries hid that the zip lacked the zope namespace package: zip imports find a namespace package only by an entry of its folder. Run bare, it did not start.

The mutation for cold servers no longer bites since the limit's default is bound early; it is replaced by a stricter one, all slots from the start, found after 2 examples.

Before: No module named 'zope'. After: a query is answered through the file; strace shows one execve, threads only, no file opened for writing, exit 0 on SIGTERM.

--- a/currantwharf/tests/mutations.py
+++ b/currantwharf/tests/mutations.py
@@ -14,7 +14,7 @@
 from currantwharf.node.instance import Instance
 from currantwharf.once.claim_table import ClaimTable
 from currantwharf.once.running_order import RunningOrder
-from currantwharf.owner import limit
+from currantwharf.owner import ServerGate
 from currantwharf.query.coverage import Coverage
 from currantwharf.query.router import Router
 from currantwharf.query.running_query import RunningQuery
@@ -61,7 +61,9 @@
         "_coverage",
         lambda query: Coverage(len(query._shards), len(query._shards)),
     ),
-    "cold server: the cold limit is 2": lambda: patch.object(limit, "COLD_LIMIT", 2.0),
+    "cold server: all slots are used from the start": lambda: patch.object(
+        ServerGate, "_allowed", lambda gate, now: gate.limit.slots
+    ),
     "data centre out: routing ignores it": lambda: patch.object(
         Router, "may_take_work", lambda router, server, config: True
     ),
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -8,7 +8,7 @@
 import sys
 import zipfile
 from importlib import metadata
-from pathlib import Path
+from pathlib import Path, PurePosixPath
 
 import click
 
@@ -70,10 +70,23 @@
                 for inside, path in files_of(name):
                     if path.is_file():
                         archive.write(path, inside)
+            _add_folders(archive)
     target.chmod(0o755)
     return target.stat().st_size
 
 
+def _add_folders(archive: zipfile.ZipFile) -> None:
+    """Add an entry for each folder; without it a namespace package is not found."""
+    folders = {
+        parent.as_posix() + "/"
+        for name in archive.namelist()
+        for parent in PurePosixPath(name).parents
+        if parent.name
+    }
+    for folder in sorted(folders - set(archive.namelist())):
+        archive.writestr(folder, b"")
+
+
 if __name__ == "__main__":
     size = build(Path(sys.argv[1]))
     click.echo(f"{sys.argv[1]}: {size / 1e6:.1f} MB")
