--- a/currantwharf/node/instance.py
+++ b/currantwharf/node/instance.py
@@ -223,8 +223,9 @@
         elif isinstance(message, ShardAnswer | ClaimReply):
             self.entry.tell(message)
         elif isinstance(message, Claim):
-            sees_majority = self.is_ready() and self.fleet.sees_fleet_majority()
-            reply = self.claims.claim(message, sees_majority, self.clock.wall())
+            at_work = self.fleet.record.phase in (Phase.READY, Phase.STOPPING)
+            vouches = at_work and self.fleet.sees_fleet_majority()
+            reply = self.claims.claim(message, vouches, self.clock.wall())
             self.post.send(sender, reply)
         elif isinstance(message, ClaimResult):
             self.claims.finish(message)
--- a/currantwharf/tests/fake_world.py
+++ b/currantwharf/tests/fake_world.py
@@ -85,6 +85,14 @@
             copy = self.stale[name] = PlatformValue()
             copy.publish(value.document, value.version)
 
+    def serve_newest_for(self, seconds: float) -> None:
+        """Let a stale platform show what is published for a while."""
+        stale, self.stale = self.stale, {}
+        for value in stale.values():
+            value.publish(value.document, value.version)
+        self.advance(seconds)
+        self.stale = stale
+
     def set_data_centre(self, name: str, in_service: bool) -> None:
         centres = dict(self.config.data_centres)
         centres[name] = replace(centres[name], in_service=in_service)
--- a/currantwharf/tests/test_fuzz.py
+++ b/currantwharf/tests/test_fuzz.py
@@ -186,6 +186,18 @@
         self.world.make_platform_stale()
         self.disturb()
 
+    @rule(name=names)
+    def restart_under_a_stale_platform(self, name: str) -> None:
+        """Publish, let the platform fall back to its old copy, restart an instance."""
+        self.world.make_platform_stale()
+        self.disturb()
+        self.world.set_data_centre(CENTRES[0], True)
+        self.oracle.published_at = self.world.clock.seconds()
+        self.world.serve_newest_for(1.0)
+        self.kill(name)
+        self.start(name)
+        self.world.advance(2.0)
+
     @rule(keep_old=st.booleans())
     def new_index(self, keep_old: bool) -> None:
         held = {f"index-{self.indexes + 1}"}
