--- a/currantwharf/cli/loaded.py
+++ b/currantwharf/cli/loaded.py
@@ -1,5 +1,7 @@
 """End the command line on a document that is not valid."""
 
+import dataclasses
+import json
 import sys
 from typing import TypeVar
 
@@ -12,9 +14,18 @@
 T = TypeVar("T")
 
 
-def loaded_or_exit(result: Result[T, InvalidDocument]) -> T:
-    """Return the document, or print every problem and exit."""
-    if result.is_err():
-        click.echo(str(result.unwrap_err()), err=True)
-        sys.exit(ExitCode.SETTINGS)
-    return result.unwrap()
+def loaded_or_exit(result: Result[T, InvalidDocument], as_json: bool = False) -> T:
+    """Return the document, or print every problem and exit.
+
+    With `as_json` the problems go to standard output as one JSON object, else to
+    standard error as a line each.
+    """
+    if result.is_ok():
+        return result.unwrap()
+    invalid = result.unwrap_err()
+    if as_json:
+        problems = [dataclasses.asdict(problem) for problem in invalid.problems]
+        click.echo(json.dumps({"valid": False, "problems": problems}, indent=1))
+    else:
+        click.echo(str(invalid), err=True)
+    sys.exit(ExitCode.SETTINGS)
--- a/currantwharf/cli/tests/test_commands.py
+++ b/currantwharf/cli/tests/test_commands.py
@@ -18,11 +18,11 @@
     def run_command(self, *arguments: str) -> Result:
         return CliRunner().invoke(main, list(arguments))
 
-    def run_on_file(self, command: str, content: bytes) -> Result:
+    def run_on_file(self, command: str, content: bytes, *options: str) -> Result:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "document"
             path.write_bytes(content)
-            return self.run_command(command, str(path))
+            return self.run_command(command, str(path), *options)
 
     def test_every_command_has_help(self) -> None:
         for name in main.commands:
@@ -57,6 +57,13 @@
         self.assertEqual(found.exit_code, ExitCode.SETTINGS)
         self.assertEqual(found.output.count("latency_ms: found -1"), 2)
 
+    def test_problems_are_told_to_a_script_as_json(self) -> None:
+        found = self.run_on_file("check-settings", b"instance: 5", "--json")
+        self.assertEqual(found.exit_code, ExitCode.SETTINGS)
+        answer = json.loads(found.stdout)
+        self.assertFalse(answer["valid"])
+        self.assertEqual(answer["problems"][0]["path"], "instance")
+
     def test_completion_is_printed_for_each_shell(self) -> None:
         for shell in ("zsh", "fish"):
             found = self.run_command("completion", shell)
