Close the callers' port once the balancer has had its time

Change: each answer of a stopping instance closes its connection; after 1.5 s without a caller, or 5 s at most, the callers' port is closed; the process ends when nothing is under way.

Conclusion: a balancer that looks at refusals alone is served too.

--- a/currantwharf/adapters/caller_server.py
+++ b/currantwharf/adapters/caller_server.py
@@ -31,6 +31,9 @@
     def config_for_callers(self) -> PublishedConfig | None:
         """Return the configuration, or None while no request may be taken."""
 
+    def is_stopping(self) -> bool:
+        """Return whether callers should go elsewhere from now on."""
+
     def clocks(self) -> tuple[float, float]:
         """Return the monotonic clock and the Unix time, in seconds."""
 
@@ -68,6 +71,9 @@
 
 async def _answer(handler: CallerHandler, request: Request) -> bytes:
     request.setHeader("content-type", "application/json")
+    if handler.is_stopping():
+        request.setHeader("connection", "close")
+        request.channel.persistent = False
     raw: bytes = read_body(request)
     config = handler.config_for_callers()
     if config is None:
--- a/currantwharf/adapters/tests/test_caller_interface.py
+++ b/currantwharf/adapters/tests/test_caller_interface.py
@@ -158,6 +158,19 @@
             found = connection.answer()
             self.assertEqual((found.status, found.body["outcome"]), (503, outcome))
 
+    def test_stopping_instance_answers_and_closes_the_connection(self) -> None:
+        connection = MemoryConnection(self.site)
+        body = msgspec.json.encode(make_body())
+        connection.send(make_request("POST", "/v1/requests", body))
+        self.world.advance(0.5)
+        self.assertFalse(connection.answer().closed)
+        self.world.nodes["i0"].fleet.stop()
+        stopping = MemoryConnection(self.site)
+        stopping.send(make_request("POST", "/v1/requests", body))
+        self.world.advance(0.5)
+        self.assertEqual(stopping.answer().status, 200)
+        self.assertTrue(stopping.answer().closed)
+
     def test_resend_is_not_called_not_run_at_the_door(self) -> None:
         body = msgspec.json.encode({"resend": True, "id": "o1"})
         found = self.exchange(make_request("POST", "/v1/requests", body))
--- a/currantwharf/node/instance.py
+++ b/currantwharf/node/instance.py
@@ -115,6 +115,10 @@
             return None
         return self.fleet.config.config if self.fleet.config is not None else None
 
+    def is_stopping(self) -> bool:
+        """Return whether callers should go elsewhere from now on."""
+        return self.fleet.record.phase is Phase.STOPPING
+
     def clocks(self) -> tuple[float, float]:
         """Return the monotonic clock and the Unix time, in seconds."""
         return self.clock.now(), self.clock.wall()
--- a/currantwharf/node/serve.py
+++ b/currantwharf/node/serve.py
@@ -30,7 +30,10 @@
 
 
 def listen(instance: Instance, reactor: Any) -> list[Any]:
-    """Open the three ports of an instance; raise CannotListenError if one is taken."""
+    """Open the ports of an instance, the callers' last, and return them.
+
+    CannotListenError is raised if one is taken.
+    """
     settings = instance.settings
     sites = (
         (settings.peer_port, peer_resource(instance), PEER_BODY_LIMIT),
@@ -71,8 +74,9 @@
 
 async def _stop(instance: Instance, ports: list[Any], reactor: Any) -> None:
     """Drain the instance, close its ports and end the process."""
-    await drain(instance, reactor)
-    for port in ports:
+    *others, callers = ports
+    await drain(instance, reactor, callers.stopListening)
+    for port in others:
         await port.stopListening()
     log.info("stopped")
     reactor.stop()
--- a/currantwharf/tests/mutations.py
+++ b/currantwharf/tests/mutations.py
@@ -80,7 +80,10 @@
         Instance, "_is_listed_as_leaving", lambda instance, server: False
     ),
     "graceful stop: drained at once": lambda: patch.multiple(
-        graceful_stop, BALANCER_LAG_S=-1.0, _is_drained=lambda instance: True
+        graceful_stop,
+        BALANCER_LAG_S=-1.0,
+        LAST_CALLER_S=-1.0,
+        _is_drained=lambda instance: True,
     ),
     "configuration: any other version replaces": lambda: patch(
         "currantwharf.node.fleet_task.is_newer",
