Look for owned servers only where this instance may own any

Cause: a re-read of the change. At every change of the fleet an owner asked who owns each of all backend servers, while the capacity page counts those of its own data centre; the pool of stand-ins was worked out in two places, an instance's doubt anew for each server, and a query built by hand the answer that the owner's module already makes. The page's script repeated two constants of the code.

Change: data centres in which this instance may own nothing are passed over; one function for the pool, one cached doubt for each data centre, one function for an answer without hits, constants imported. Behaviour is as before.

Conclusion: the page's term for owners is now what the code does.

--- a/currantwharf/bench/capacity.py
+++ b/currantwharf/bench/capacity.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 
 from currantwharf.bench.points import Line, Series, fit
+from currantwharf.fleet import READERS_PER_DATA_CENTRE
+from currantwharf.node.platform_reader import WATCH_S
 
 CORE_US = 1e6  # microseconds of one core in a second
 DAY_S = 86_400  # seconds
@@ -11,8 +13,6 @@
 CHANGES_PER_FAILURE = 3  # suspected, dead, back
 PLATFORM_LIMIT = 2000  # calls a second
 SPOT_CHECKS = 2  # a second in each data centre, one for each published value
-READERS = 2  # in each data centre
-WATCH_S = 2.0  # seconds
 REPLY_S = 0.015  # seconds that a call between instances is open, as a rule
 RELAY_BATCH_S = 0.02  # seconds for which a relay collects
 VALUES = 2  # published values that are watched
@@ -180,7 +180,7 @@
 
 
 def _platform_calls(lines: dict[str, Line], size: Size) -> float:
-    watches = READERS * VALUES / WATCH_S
+    watches = READERS_PER_DATA_CENTRE * VALUES / WATCH_S
     return size.data_centres * (watches + SPOT_CHECKS)
 
 
--- a/currantwharf/fleet/owners.py
+++ b/currantwharf/fleet/owners.py
@@ -24,7 +24,7 @@
         self._seen: tuple[int, bool] = (-1, False)
         self._owner_of: dict[str, str | None] = {}
         self._candidates: dict[str, list[str]] = {}
-        self._heard: dict[frozenset[str], bool] = {}
+        self._doubtful: dict[str, bool] = {}
 
     def set_self_usable(self, usable: bool) -> None:
         """Say whether this process itself may own servers."""
@@ -42,7 +42,7 @@
         """Drop the kept answers, after a change of configuration."""
         self._owner_of.clear()
         self._candidates.clear()
-        self._heard.clear()
+        self._doubtful.clear()
 
     def candidates(self, data_centre: str, config: PublishedConfig) -> list[str]:
         """Return the instances that may own servers of `data_centre`.
@@ -68,13 +68,20 @@
 
     def is_doubtful(self, server: str, config: PublishedConfig) -> bool:
         """Return whether others may have taken `server` over from this process."""
+        self._forget_if_changed()
         home = config.servers[server].data_centre
+        if home not in self._doubtful:
+            self._doubtful[home] = not self._is_sure_of(home, config)
+        return self._doubtful[home]
+
+    def _is_sure_of(self, home: str, config: PublishedConfig) -> bool:
         if self._listed_in({home}):
-            return not self.sees_majority()
-        region = config.data_centres[home].region
-        near = {n for n, dc in config.data_centres.items() if dc.region == region}
-        pool = near if self._listed_in(near) else set(config.data_centres)
-        return not self._hears_most(pool)
+            return self.sees_majority()
+        return self._hears_most(self._stand_in_pool(home, config))
+
+    def may_own_in(self, data_centre: str, config: PublishedConfig) -> bool:
+        """Return whether this process is among those that may own servers there."""
+        return self._membership.instance in self.candidates(data_centre, config)
 
     def has_silent_rival(self, server: str, config: PublishedConfig) -> bool:
         """Return whether an instance that may run unheard ranks higher for `server`."""
@@ -88,13 +95,6 @@
         )
 
     def _hears_most(self, centres: set[str]) -> bool:
-        self._forget_if_changed()
-        key = frozenset(centres)
-        if key not in self._heard:
-            self._heard[key] = self._count_heard(centres)
-        return self._heard[key]
-
-    def _count_heard(self, centres: set[str]) -> bool:
         listed = self._listed_in(centres)
         heard = [
             name
@@ -107,11 +107,13 @@
         listed = self._listed_in({data_centre})
         if listed:
             return self._owners_at_home(listed, data_centre)
+        return self._stand_ins(self._stand_in_pool(data_centre, config))
+
+    def _stand_in_pool(self, data_centre: str, config: PublishedConfig) -> set[str]:
+        """Return the data centres that stand in for one without instances."""
         region = config.data_centres[data_centre].region
         near = {n for n, dc in config.data_centres.items() if dc.region == region}
-        if self._listed_in(near):
-            return self._stand_ins(near)
-        return self._stand_ins(set(config.data_centres))
+        return near if self._listed_in(near) else set(config.data_centres)
 
     def _owners_at_home(self, listed: list[str], data_centre: str) -> list[str]:
         usable = [name for name in listed if self._is_usable(name)]
--- a/currantwharf/node/owner_task.py
+++ b/currantwharf/node/owner_task.py
@@ -88,10 +88,14 @@
         """Take up the servers that are newly owned and let go of the others."""
         now = self._clock.now()
         servers = versioned.config.servers
+        centres = versioned.config.data_centres
+        mine = {name for name in centres if owners.may_own_in(name, versioned.config)}
         for server in list(self._owned):
             if server not in servers or self._owner_of(server) != self._name:
                 self._let_go(server)
         for server, declared in servers.items():
+            if declared.data_centre not in mine:
+                continue
             if self._owner_of(server) != self._name:
                 continue
             owned = self._owned.get(server)
--- a/currantwharf/owner/__init__.py
+++ b/currantwharf/owner/__init__.py
@@ -23,7 +23,7 @@
     TAKEOVER_WAIT_S,
     ServerGate,
 )
-from currantwharf.owner.shard_answers import answers_for, refusal
+from currantwharf.owner.shard_answers import answers_for, refusal, unanswered
 
 __all__ = [
     "SILENT_TAKEOVER_WAIT_S",
@@ -47,4 +47,5 @@
     "crash_key",
     "fingerprint_of",
     "refusal",
+    "unanswered",
 ]
--- a/currantwharf/owner/shard_answers.py
+++ b/currantwharf/owner/shard_answers.py
@@ -41,29 +41,29 @@
 
 def refusal(request: ShardRequest, reason: Reason, queue: int = 0) -> ShardAnswer:
     """Return the answer for a request that was never sent to its server."""
-    return _make(request, Outcome.NOT_RUN, reason, queue)
+    return unanswered(request, Outcome.NOT_RUN, reason, queue)
 
 
 def _failed(request: ShardRequest, failed: CallFailed, queue: int) -> ShardAnswer:
     if not failed.sent:
-        return _make(request, Outcome.NOT_RUN, Reason.SERVER_LOST, queue)
+        return unanswered(request, Outcome.NOT_RUN, Reason.SERVER_LOST, queue)
     reason = Reason.DEADLINE if failed.timed_out else Reason.SERVER_LOST
-    return _make(request, Outcome.UNKNOWN, reason, queue)
+    return unanswered(request, Outcome.UNKNOWN, reason, queue)
 
 
 def _answer(
     request: ShardRequest, item: BackendItem | None, result: BackendAnswer, queue: int
 ) -> ShardAnswer:
     if item is None or item.shard != request.shard:
-        return _make(request, Outcome.UNKNOWN, Reason.BAD_ANSWER, queue)
+        return unanswered(request, Outcome.UNKNOWN, Reason.BAD_ANSWER, queue)
     if item.outcome in NOT_RUN_REASONS:
         reason = NOT_RUN_REASONS[item.outcome]
-        return _make(request, Outcome.NOT_RUN, reason, queue)
+        return unanswered(request, Outcome.NOT_RUN, reason, queue)
     if item.outcome in UNKNOWN_REASONS:
         reason = UNKNOWN_REASONS[item.outcome]
-        return _make(request, Outcome.UNKNOWN, reason, queue)
+        return unanswered(request, Outcome.UNKNOWN, reason, queue)
     if item.index_version != request.index_version:
-        return _make(request, Outcome.UNKNOWN, Reason.BAD_ANSWER, queue)
+        return unanswered(request, Outcome.UNKNOWN, Reason.BAD_ANSWER, queue)
     return ShardAnswer(
         request.query,
         request.attempt,
@@ -78,9 +78,10 @@
     )
 
 
-def _make(
-    request: ShardRequest, outcome: Outcome, reason: Reason, queue: int
+def unanswered(
+    request: ShardRequest, outcome: Outcome, reason: Reason, queue: int = 0
 ) -> ShardAnswer:
+    """Return an answer without hits that belongs to `request`."""
     return ShardAnswer(
         request.query,
         request.attempt,
--- a/currantwharf/query/running_query.py
+++ b/currantwharf/query/running_query.py
@@ -8,6 +8,7 @@
 import random
 from functools import singledispatchmethod
 
+from currantwharf.owner import unanswered
 from currantwharf.query.actions import Finish, QueryAction
 from currantwharf.query.caller_request import CallerRequest
 from currantwharf.query.class_controller import ClassController
@@ -149,15 +150,7 @@
         if shard is None or request.attempt not in shard.attempts:
             return []
         outcome = Outcome.UNKNOWN if message.sent else Outcome.NOT_RUN
-        answer = ShardAnswer(
-            request.query,
-            request.attempt,
-            request.shard,
-            request.server,
-            request.index_version,
-            outcome,
-            Reason.PEER_LOST,
-        )
+        answer = unanswered(request, outcome, Reason.PEER_LOST)
         return self._on_failed(answer, request.shard, now)
 
     def _pin(self) -> None:
