Put a thin gateway on the platform's wire

Cause: the users want the product on their platform. There each caller attempt has its own id and every instance may speak to every backend server, so owners, claims and the hop between instances are not needed on this path.

Change: package http1 (HTTP/1.1 on Twisted transports, parsed by httptools), package gateway (routes, choice, hedging under a budget, one state machine for a request), package platform (translation only), the command gateway, deploy/system.toml. Modules that both paths share moved to runtime, policy and documents; the command line imports its commands lazily.

--- a/currantwharf/cli/loaded.py
+++ b/currantwharf/cli/loaded.py
@@ -9,7 +9,7 @@
 from result import Result
 
 from currantwharf.cli.exit_code import ExitCode
-from currantwharf.config import InvalidDocument
+from currantwharf.documents.invalid_document import InvalidDocument
 
 T = TypeVar("T")
 
--- a/currantwharf/config/check_references.py
+++ b/currantwharf/config/check_references.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
-from currantwharf.config.problem import Problem
+from currantwharf.documents.problem import Problem
 from currantwharf.config.published_config import PublishedConfig
 
 
--- a/currantwharf/config/document.py
+++ b/currantwharf/config/document.py
@@ -14,8 +14,8 @@
 from pydantic_core import ErrorDetails
 from result import Err, Ok, Result
 
-from currantwharf.config.invalid_document import InvalidDocument
-from currantwharf.config.problem import Problem
+from currantwharf.documents.invalid_document import InvalidDocument
+from currantwharf.documents.problem import Problem
 
 T = TypeVar("T")
 
--- a/currantwharf/config/load_document.py
+++ b/currantwharf/config/load_document.py
@@ -7,8 +7,8 @@
 from result import Err, Result
 
 from currantwharf.config.document import parse_document
-from currantwharf.config.invalid_document import InvalidDocument
-from currantwharf.config.problem import Problem
+from currantwharf.documents.invalid_document import InvalidDocument
+from currantwharf.documents.problem import Problem
 
 T = TypeVar("T")
 
--- a/currantwharf/config/parse_config.py
+++ b/currantwharf/config/parse_config.py
@@ -5,8 +5,8 @@
 
 from currantwharf.config.check_references import check_references
 from currantwharf.config.document import parse_document
-from currantwharf.config.invalid_document import InvalidDocument
-from currantwharf.config.problem import Problem
+from currantwharf.documents.invalid_document import InvalidDocument
+from currantwharf.documents.problem import Problem
 from currantwharf.config.published_config import PublishedConfig
 from currantwharf.config.versioned_config import VersionedConfig
 
--- a/currantwharf/config/invalid_document.py
+++ b/currantwharf/documents/invalid_document.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from currantwharf.config.problem import Problem
+from currantwharf.documents.problem import Problem
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/currantwharf/gateway/backend_wire.py
@@ -0,0 +1,21 @@
+"""What a gateway asks of the protocol that backend servers speak."""
+
+from typing import Protocol
+
+from currantwharf.gateway.backend_answer import BackendAnswer
+from currantwharf.gateway.gateway_request import GatewayRequest
+from currantwharf.gateway.server_entry import ServerEntry
+from currantwharf.http1 import HttpAnswer
+
+
+class BackendWire(Protocol):
+    """Translate between requests and answers and their bytes."""
+
+    def encode(self, request: GatewayRequest, entry: ServerEntry, now: float) -> bytes:
+        """Return the request to one server, with the time that is left."""
+
+    def belongs(self, answer: HttpAnswer, request: GatewayRequest) -> bool:
+        """Return whether an answer is one to this request."""
+
+    def read(self, answer: HttpAnswer) -> BackendAnswer:
+        """Return what an answer says."""
--- /dev/null
+++ b/currantwharf/gateway/call_actions.py
@@ -0,0 +1,25 @@
+"""What a running call asks its task to do."""
+
+from dataclasses import dataclass
+
+from currantwharf.gateway.call_result import CallResult
+from currantwharf.gateway.server_entry import ServerEntry
+
+
+@dataclass(frozen=True, slots=True)
+class SendAttempt:
+    """Send the request to a server; `is_repeat` for one beyond a part's first."""
+
+    attempt: int
+    entry: ServerEntry
+    is_repeat: bool
+
+
+@dataclass(frozen=True, slots=True)
+class FinishCall:
+    """Answer the caller; nothing more is sent for the request."""
+
+    result: CallResult
+
+
+CallAction = SendAttempt | FinishCall
--- /dev/null
+++ b/currantwharf/gateway/entry_point.py
@@ -0,0 +1,71 @@
+"""Where callers' requests come in: admitted, routed and run."""
+
+from collections.abc import Callable
+from enum import StrEnum
+
+from currantwharf.gateway.call_result import CallResult
+from currantwharf.gateway.calls import Call, Calls
+from currantwharf.gateway.gateway_request import GatewayRequest
+from currantwharf.gateway.registry import Registry
+from currantwharf.gateway.route import Route
+from currantwharf.gateway.weighted_turn import WeightedTurn
+
+
+class Refusal(StrEnum):
+    """Tell why a request was not taken; it has not run."""
+
+    NO_CONFIG = "no_config"
+    NO_ROUTE = "no_route"
+    ROUTE_UNSURE = "route_unsure"  # no such route, but what is known may be old
+    STOPPING = "stopping"
+
+
+class EntryPoint:
+    """Find the route of each request and run it.
+
+    `is_current` tells whether the configuration is known to be the newest, so that a
+    route that is not in it does not exist.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        calls: Calls,
+        is_current: Callable[[], bool],
+    ) -> None:
+        self.registry = registry
+        self._calls = calls
+        self._is_current = is_current
+        self._turns: dict[str, tuple[Route, WeightedTurn]] = {}
+
+    def find(self, host: bytes, path: bytes) -> Route | Refusal:
+        """Return the route of a request, or why it is not taken."""
+        if not self.registry.is_known:
+            return Refusal.NO_CONFIG
+        route = self.registry.routes.find(host, path)
+        if route is not None:
+            return route
+        return Refusal.NO_ROUTE if self._is_current() else Refusal.ROUTE_UNSURE
+
+    def run(
+        self,
+        request: GatewayRequest,
+        route: Route,
+        on_result: Callable[[CallResult], None],
+    ) -> Call:
+        """Run a request."""
+        services = route.shards or (self._service_of(route),)
+        return self._calls.start(request, route, services, on_result)
+
+    def leave(self, call: Call) -> None:
+        """Give a call up whose caller has left."""
+        self._calls.leave(call)
+
+    def _service_of(self, route: Route) -> str:
+        if len(route.services) == 1:
+            return route.services[0].service
+        known = self._turns.get(route.name)
+        if known is None or known[0].services != route.services:
+            known = (route, WeightedTurn(route.services))
+            self._turns[route.name] = known
+        return known[1].next()
--- /dev/null
+++ b/currantwharf/gateway/gateway.py
@@ -0,0 +1,162 @@
+"""One instance on the way between callers and backend servers, without own state.
+
+It reads the configuration and the registrations of backend servers, runs callers'
+requests and stops without cutting one off.
+"""
+
+import random
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+
+from currantwharf.gateway.backend_wire import BackendWire
+from currantwharf.gateway.calls import Calls
+from currantwharf.gateway.changes import RevisedChange, ServerRemoved
+from currantwharf.gateway.entry_point import EntryPoint
+from currantwharf.gateway.gateway_limits import GatewayLimits
+from currantwharf.gateway.metadata_store import MetadataStore
+from currantwharf.gateway.registry import Registry
+from currantwharf.gateway.registry_task import RegistryTask
+from currantwharf.gateway.server_choice import ServerChooser
+from currantwharf.gateway.server_directory import ServerDirectory
+from currantwharf.gateway.server_pools import ServerPools
+from currantwharf.http1 import CallerConnection, RequestLimits
+from currantwharf.runtime.clock import Clock
+from currantwharf.runtime.part_log import part_log
+
+SWEEP_S = 0.25  # seconds between two looks at what is overdue
+BALANCER_S = 2.6  # seconds until a balancer that checks each second has missed two
+MARGIN_S = 0.35  # seconds kept from the time in which the process has to end
+LAST_CALLER_S = 0.4  # seconds without a request after which a stop may end
+
+log = part_log("gateway")
+
+
+class Life(StrEnum):
+    """Name the states of a gateway."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    STOPPING = "stopping"
+
+
+class Gateway:
+    """Wire the tasks of one gateway together."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        region: str,
+        regions: dict[str, str],
+        limits: GatewayLimits,
+        store: MetadataStore,
+        wire: BackendWire,
+        rng: random.Random,
+    ) -> None:
+        self.life = Life.STARTING
+        self.callers: set[CallerConnection] = set()
+        self._reactor = reactor
+        self._clock = clock
+        self._limits = limits
+        directory = ServerDirectory()
+        self.chooser = ServerChooser(directory, limits, region, regions, rng)
+        self.registry = Registry(directory, self.chooser)
+        self.pools = ServerPools(reactor, clock, self.chooser, self._connections_of)
+        self.calls = Calls(reactor, clock, self.chooser, self.pools, wire)
+        self.reader = RegistryTask(
+            reactor, clock, store, self.registry, self._on_news, rng
+        )
+        self.entry_point = EntryPoint(
+            self.registry, self.calls, lambda: self.reader.is_store_up
+        )
+        self._sweep = LoopingCall(self._on_sweep)
+        self._sweep.clock = reactor
+        self._stop_at: float | None = None
+        self._on_stopped: Callable[[], None] | None = None
+        self._close_port: Callable[[], object] = lambda: None
+        self._is_closed_to_callers = False
+
+    def start(self) -> None:
+        """Begin to read and to look after what is overdue."""
+        self.reader.start()
+        self._sweep.start(SWEEP_S, now=False)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return self.life is Life.SERVING
+
+    def is_closing(self) -> bool:
+        """Return whether each answer ends its caller's connection."""
+        return self.life is Life.STOPPING
+
+    def request_limits(self) -> RequestLimits:
+        """Return what callers may send."""
+        config = self.registry.config
+        return config.limits if config is not None else RequestLimits()
+
+    def stop(
+        self, close_port: Callable[[], object], on_stopped: Callable[[], None]
+    ) -> None:
+        """Stop gracefully; `close_port` closes the callers' port."""
+        if self.life is Life.STOPPING:
+            return
+        log.info("stopping", extra={"calls": len(self.calls.running)})
+        self.life = Life.STOPPING
+        self._stop_at = self._clock.now()
+        self._close_port = close_port
+        self._on_stopped = on_stopped
+
+    def _on_sweep(self) -> None:
+        now = self._clock.now()
+        for server in self.registry.expire(now):
+            self._forget(server)
+        self.calls.sweep(now)
+        self.pools.sweep(now)
+        for conn in list(self.callers):
+            conn.sweep(now)
+        if self._stop_at is not None:
+            self._go_on_stopping(now - self._stop_at)
+
+    def _go_on_stopping(self, since_s: float) -> None:
+        if since_s < BALANCER_S:
+            return
+        if not self._is_closed_to_callers:
+            self._is_closed_to_callers = True
+            self._close_port()
+            for conn in list(self.callers):
+                if not conn.is_busy:
+                    conn.close()
+        is_quiet = not self.calls.running and not any(c.is_busy for c in self.callers)
+        if is_quiet or since_s >= self._limits.grace_s - MARGIN_S:
+            self.calls.give_up_all()
+            self._sweep.stop()
+            if self._on_stopped is not None:
+                # The last answers are still to be written.
+                self._reactor.callLater(0.05, self._on_stopped)
+
+    def _on_news(self, news: list[RevisedChange]) -> None:
+        for change in news:
+            found = change.change
+            if isinstance(found, ServerRemoved):
+                if not self.chooser.directory.is_awaited(found.server):
+                    self._forget(found.server)
+        if self.life is Life.STARTING and self.registry.is_known:
+            self.life = Life.SERVING
+            version = self.registry.config.version if self.registry.config else 0
+            log.info("serving", extra={"version": version})
+        limits = self.request_limits()
+        for conn in self.callers:
+            conn.set_limits(limits)
+
+    def _forget(self, server: str) -> None:
+        self.pools.close(server)
+        self.chooser.forget(server)
+
+    def _connections_of(self, service: str) -> int:
+        config = self.registry.config
+        declared = config.services.get(service) if config is not None else None
+        return declared.most_connections if declared is not None else 1
--- /dev/null
+++ b/currantwharf/gateway/running_call.py
@@ -0,0 +1,299 @@
+"""One request on its way through the gateway: sent, hedged, retried and answered.
+
+The call does no I/O. It takes results with the present time and returns actions. A
+call has a part for each shard of its route, or a single part for a route to one
+service; all parts come from the configuration that was in force when it began.
+"""
+
+from currantwharf.gateway.attempt_result import AttemptResult
+from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
+from currantwharf.gateway.call_actions import CallAction, FinishCall, SendAttempt
+from currantwharf.gateway.call_result import CallOutcome, CallReason, CallResult
+from currantwharf.gateway.gateway_request import GatewayRequest
+from currantwharf.gateway.part_call import PartAttempt, PartCall
+from currantwharf.gateway.route import Route
+from currantwharf.gateway.server_choice import ServerChooser
+from currantwharf.gateway.server_entry import ServerEntry
+from currantwharf.http1 import ConnectionFailure
+from currantwharf.policy.coverage import Coverage
+
+RETRY_S = 0.04  # seconds before a server is looked for again
+MOST_SENDS = 6  # sends of one part; rejections cost the budget as well
+LATE_PATIENCE = 0.5  # of the target that a late answer waits for its last parts
+LEAST_GAIN_S = 0.002  # seconds by which a hedge has to beat the target
+RETRY_AFTER_S = 0.25  # seconds after which a refused caller may find a server
+
+
+class RunningCall:
+    """Drive one request from its first send to its result."""
+
+    def __init__(
+        self,
+        request: GatewayRequest,
+        route: Route,
+        services: tuple[str, ...],
+        chooser: ServerChooser,
+        first_attempt: int,
+    ) -> None:
+        self.request = request
+        self.route = route
+        self.is_finished = False
+        self.sends = 0
+        self.extras = 0
+        self.parts = [PartCall(service) for service in services]
+        self._chooser = chooser
+        self._next_attempt = first_attempt
+        self._part_of: dict[int, PartCall] = {}
+        self._answered = 0
+        self._merges = bool(route.shards)
+        self._last_reason = CallReason.NO_SERVER
+        self._late_at = request.target_at + LATE_PATIENCE * route.target_s
+
+    @staticmethod
+    def most_attempts(parts: int) -> int:
+        """Return the number of attempts that a call with so many parts may make."""
+        return parts * MOST_SENDS
+
+    def start(self, now: float) -> list[CallAction]:
+        """Send every part."""
+        actions: list[CallAction] = []
+        for part in self.parts:
+            self._chooser.begin(part.service, now)
+            self._send(part, now, actions)
+        return self._finish_if_done(actions, now)
+
+    def next_wake(self, now: float) -> float:
+        """Return when `wake` is due next, in seconds of the monotonic clock."""
+        wake_at = self.request.deadline
+        if self._merges:
+            for at in (self.request.target_at, self._late_at):
+                if now < at < wake_at:
+                    wake_at = at
+        for part in self.parts:
+            if part.answer is not None:
+                continue
+            if part.hedge_at is not None and part.hedge_at < wake_at:
+                wake_at = part.hedge_at
+            if part.retry_at is not None and part.retry_at < wake_at:
+                wake_at = part.retry_at
+        return wake_at
+
+    def wake(self, now: float) -> list[CallAction]:
+        """Hedge, retry or answer, as the time has come for."""
+        if self.is_finished:
+            return []
+        actions: list[CallAction] = []
+        if now >= self.request.deadline or self._may_answer(now):
+            return self._finish(actions)
+        for part in self.parts:
+            if part.answer is not None:
+                continue
+            if part.retry_at is not None and part.retry_at <= now:
+                part.retry_at = None
+                self._send(part, now, actions)
+            elif part.hedge_at is not None and part.hedge_at <= now:
+                self._hedge(part, now, actions)
+        return self._finish_if_done(actions, now)
+
+    def give_up(self) -> list[CallAction]:
+        """Answer with what is there: the instance is about to end."""
+        return [] if self.is_finished else self._finish([])
+
+    def take(
+        self, attempt: int, result: AttemptResult, now: float
+    ) -> list[CallAction]:
+        """Take the result of an attempt."""
+        part = self._part_of.pop(attempt, None)
+        if part is None:
+            return []
+        entry = part.attempts.pop(attempt).entry
+        self._chooser.on_result(result, entry, attempt, now)
+        if self.is_finished or part.answer is not None:
+            return []
+        actions: list[CallAction] = []
+        if isinstance(result, BackendAnswer) and self._is_final(result):
+            part.answer = result
+            part.arrived = True
+            self._answered += 1
+        else:
+            self._on_failed(part, result)
+            if not self._may_answer(now):
+                self._send_again(part, result, now, actions)
+        return self._finish_if_done(actions, now)
+
+    def _is_final(self, answer: BackendAnswer) -> bool:
+        if self._merges:
+            return answer.is_success
+        return answer.verdict is Verdict.ANSWERED
+
+    def _on_failed(self, part: PartCall, result: AttemptResult) -> None:
+        if _did_not_run(result):
+            part.ran_on -= 1
+        if not isinstance(result, ConnectionFailure) or result.was_sent:
+            part.arrived = True
+        if isinstance(result, BackendAnswer):
+            self._last_reason = _reason_of(result)
+            if result.verdict is Verdict.FAILED:
+                part.failure = result
+        elif result.was_sent:
+            self._last_reason = CallReason.SERVER_LOST
+
+    def _send_again(
+        self,
+        part: PartCall,
+        result: AttemptResult,
+        now: float,
+        actions: list[CallAction],
+    ) -> None:
+        if part.attempts:
+            return
+        part.hedge_at = None
+        if _did_not_run(result) or self.route.idempotent:
+            self._send(part, now, actions)
+
+    def _send(self, part: PartCall, now: float, actions: list[CallAction]) -> None:
+        """Send a part to the best server that has not got it, if it may be sent."""
+        if part.ran_on >= self.route.most_servers or part.sends >= MOST_SENDS:
+            return
+        if now >= self.request.deadline:
+            return
+        entry = self._chooser.choose(part.service, self.route, part.tried, now)
+        if entry is None:
+            part.tried.clear()
+            part.retry_at = now + RETRY_S
+            return
+        if part.arrived and not self._chooser.may_repeat(part.service, now):
+            part.retry_at = now + RETRY_S
+            return
+        self._send_to(part, entry, now, actions)
+
+    def _send_to(
+        self,
+        part: PartCall,
+        entry: ServerEntry,
+        now: float,
+        actions: list[CallAction],
+    ) -> None:
+        attempt = self._next_attempt
+        self._next_attempt += 1
+        self.sends += 1
+        self.extras += part.arrived
+        part.attempts[attempt] = PartAttempt(entry, now)
+        part.tried.add(entry.server)
+        part.ran_on += 1
+        part.sends += 1
+        part.retry_at = None
+        if self.route.idempotent and part.ran_on < self.route.most_servers:
+            part.hedge_at = now + self._chooser.slow_after_s(entry)
+        else:
+            part.hedge_at = None
+        self._part_of[attempt] = part
+        self._chooser.on_send(entry, attempt, now)
+        actions.append(SendAttempt(attempt, entry, part.arrived))
+
+    def _hedge(self, part: PartCall, now: float, actions: list[CallAction]) -> None:
+        part.hedge_at = None
+        entry = self._chooser.choose(part.service, self.route, part.tried, now)
+        if entry is None:
+            return
+        arrival = now + self._chooser.expected_s(entry, now)
+        in_time = arrival + LEAST_GAIN_S < self.request.target_at
+        if not in_time and self._merges and self._coverage_is_enough():
+            return
+        if not self._chooser.may_repeat(part.service, now):
+            part.hedge_at = now + RETRY_S
+            return
+        part.arrived = True
+        self._send_to(part, entry, now, actions)
+
+    def _coverage(self) -> Coverage:
+        return Coverage(self._answered, len(self.parts))
+
+    def _coverage_is_enough(self) -> bool:
+        return self._coverage().share >= self.route.least_coverage
+
+    def _may_answer(self, now: float) -> bool:
+        """Return whether what is there may be answered although parts are missing.
+
+        Just before the target an incomplete answer is worth more than a late one;
+        after it the last parts are waited for a while.
+        """
+        if not self._merges or not self._answered or not self._coverage_is_enough():
+            return False
+        return (
+            self.request.target_at <= now < self.request.target_at + LEAST_GAIN_S * 5
+            or now >= self._late_at
+        )
+
+    def _finish_if_done(
+        self, actions: list[CallAction], now: float
+    ) -> list[CallAction]:
+        if self.is_finished:
+            return actions
+        if self._answered == len(self.parts) or self._may_answer(now):
+            return self._finish(actions)
+        if not any(part.is_open for part in self.parts):
+            return self._finish(actions)
+        if not self._merges and self._is_refused_now():
+            return self._finish(actions)
+        return actions
+
+    def _is_refused_now(self) -> bool:
+        """Return whether no server takes the request: its caller is told at once."""
+        part = self.parts[0]
+        return part.ran_on <= 0 and not part.attempts and part.retry_at is not None
+
+    def _finish(self, actions: list[CallAction]) -> list[CallAction]:
+        self.is_finished = True
+        result = self._merged() if self._merges else self._relayed()
+        return [*actions, FinishCall(result)]
+
+    def _merged(self) -> CallResult:
+        answers = tuple(part.answer for part in self.parts if part.answer is not None)
+        if answers and self._coverage_is_enough():
+            return self._result(CallOutcome.ANSWERED, CallReason.NONE, answers)
+        if not any(part.ran_on > 0 or part.answer for part in self.parts):
+            return self._result(CallOutcome.NOT_RUN, self._last_reason)
+        return self._result(CallOutcome.TIMED_OUT, CallReason.COVERAGE_TOO_LOW)
+
+    def _relayed(self) -> CallResult:
+        (part,) = self.parts
+        answer = part.answer or part.failure
+        if answer is not None:
+            return self._result(CallOutcome.ANSWERED, CallReason.NONE, (answer,))
+        if part.ran_on <= 0:
+            return self._result(CallOutcome.NOT_RUN, self._last_reason)
+        if part.attempts:
+            return self._result(CallOutcome.TIMED_OUT, CallReason.TIMEOUT)
+        return self._result(CallOutcome.UNKNOWN, self._last_reason)
+
+    def _result(
+        self,
+        outcome: CallOutcome,
+        reason: CallReason,
+        answers: tuple[BackendAnswer, ...] = (),
+    ) -> CallResult:
+        retry_after = RETRY_AFTER_S if outcome is CallOutcome.NOT_RUN else 0.0
+        return CallResult(
+            outcome,
+            reason,
+            answers,
+            self._coverage(),
+            self.sends,
+            self.extras,
+            retry_after,
+        )
+
+
+def _did_not_run(result: AttemptResult) -> bool:
+    if isinstance(result, ConnectionFailure):
+        return not result.was_sent
+    return result.verdict in (Verdict.REJECTED, Verdict.MISDIRECTED)
+
+
+def _reason_of(answer: BackendAnswer) -> CallReason:
+    if answer.verdict is Verdict.REJECTED:
+        return CallReason.OVERLOADED
+    if answer.verdict is Verdict.MISDIRECTED:
+        return CallReason.NO_SERVER
+    return CallReason.SERVER_FAILED
--- /dev/null
+++ b/currantwharf/gateway/server_choice.py
@@ -0,0 +1,208 @@
+"""Choose the backend server of the next send, and say whether one more is allowed."""
+
+import random
+from collections.abc import Collection, Mapping
+from functools import singledispatchmethod
+
+from currantwharf.gateway.attempt_result import AttemptResult
+from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
+from currantwharf.gateway.gateway_limits import GatewayLimits
+from currantwharf.gateway.ineligible import Ineligible
+from currantwharf.gateway.route import Route
+from currantwharf.gateway.server_directory import ServerDirectory
+from currantwharf.gateway.server_entry import ServerEntry
+from currantwharf.gateway.server_evidence import ServerEvidence
+from currantwharf.gateway.service_evidence import ServiceEvidence
+from currantwharf.http1 import ConnectionFailure
+from currantwharf.policy.extra_budget import ExtraBudget
+
+NEAR_S = 0.002  # seconds of a round trip inside a region, until one is measured
+FAR_S = 0.042  # seconds of a round trip between regions, until one is measured
+SILENCE_S = 0.15  # seconds that a server which has fallen silent is expected to stay so
+EJECTED_S = 10.0  # seconds; ranks an ejected server behind any other
+COLD_FACTOR = 1.6  # times the usual work that a cold server takes
+JITTER = 0.1  # share by which equal servers are ranked apart
+BUDGET_SHARE = 0.85  # of the retry budget; the rest covers windows that differ
+
+
+class ServerChooser:
+    """Hold the evidence and answer which server gets a request.
+
+    `region` is this instance's, `regions` maps data centres to regions. `share` is
+    the part of the fleet's budgets that this instance may spend.
+    """
+
+    def __init__(
+        self,
+        directory: ServerDirectory,
+        limits: GatewayLimits,
+        region: str,
+        regions: Mapping[str, str],
+        rng: random.Random,
+    ) -> None:
+        self.directory = directory
+        self.out: set[str] = set()
+        self._limits = limits
+        self._region = region
+        self._regions = regions
+        self._rng = rng
+        self._share = 1.0 / limits.fleet_guess
+        self._evidence: dict[str, ServerEvidence] = {}
+        self._services: dict[str, ServiceEvidence] = {}
+        self._budgets: dict[str, ExtraBudget] = {}
+        self._round_trips: dict[str, float] = {}
+        self._misdirected: set[str] = set()
+
+    def set_share(self, share: float) -> None:
+        """Set the part of the fleet's budgets that this instance may spend."""
+        self._share = share
+        allowance = self._allowance()
+        for budget in self._budgets.values():
+            budget.allowance = allowance
+
+    def why_not(
+        self, entry: ServerEntry, route: Route, tried: Collection[str]
+    ) -> Ineligible | None:
+        """Return what keeps a server from a request of `route`, or None."""
+        if entry.leaving:
+            return Ineligible.LEAVING
+        if entry.server in tried:
+            return Ineligible.TRIED
+        if entry.server in self._misdirected:
+            return Ineligible.ADDRESS_REUSED
+        if entry.data_centre in self.out:
+            return Ineligible.DATA_CENTRE_OUT
+        if route.regions and self._regions.get(entry.data_centre) not in route.regions:
+            return Ineligible.REGION_NOT_ALLOWED
+        return None
+
+    def choose(
+        self, service: str, route: Route, tried: Collection[str], now: float
+    ) -> ServerEntry | None:
+        """Return the server with the least expected latency, or None."""
+        best: ServerEntry | None = None
+        best_cost = float("inf")
+        for entry in self.directory.servers_of(service).values():
+            if self.why_not(entry, route, tried) is not None:
+                continue
+            cost = self._cost(entry, now)
+            if cost < best_cost:
+                best, best_cost = entry, cost
+        return best
+
+    def expected_s(self, entry: ServerEntry, now: float) -> float:
+        """Return the latency that is expected of a server, in seconds."""
+        return self.evidence(entry).expected_s(now)
+
+    def slow_after_s(self, entry: ServerEntry) -> float:
+        """Return the latency from which a server's answer is unusually late."""
+        evidence = self.evidence(entry)
+        usual = self._service(entry.service).slow_after_s()
+        return min(evidence.slow_after_s(), self._round_trip_s(entry) + usual)
+
+    def begin(self, service: str, now: float) -> None:
+        """Count a request for a service, on which its budget of repeats rests."""
+        self._budget(service).add_sends(1, now)
+
+    def may_repeat(self, service: str, now: float) -> bool:
+        """Take one repeat from the budget of a service, if it is not spent."""
+        return self._budget(service).take(now)
+
+    def on_send(self, entry: ServerEntry, attempt: int, now: float) -> None:
+        """Note a request that goes to a server."""
+        self.evidence(entry).on_send(attempt, now)
+
+    def on_withdrawn(self, entry: ServerEntry, attempt: int) -> None:
+        """Note that a request was withdrawn from a server."""
+        self.evidence(entry).on_end(attempt)
+
+    def on_connected(self, data_centre: str, took_s: float) -> None:
+        """Note how long a connection to a data centre took to come about."""
+        known = self._round_trips.get(data_centre, took_s)
+        self._round_trips[data_centre] = min(known, took_s)
+
+    @singledispatchmethod
+    def on_result(
+        self, result: AttemptResult, entry: ServerEntry, attempt: int, now: float
+    ) -> None:
+        """Learn from the result of an attempt."""
+        raise NotImplementedError(type(result))
+
+    @on_result.register
+    def _(
+        self, result: ConnectionFailure, entry: ServerEntry, attempt: int, now: float
+    ) -> None:
+        if result is ConnectionFailure.NOT_SENT:
+            self.evidence(entry).on_end(attempt)
+        else:
+            self.evidence(entry).on_failure(attempt, now)
+
+    @on_result.register
+    def _(
+        self, result: BackendAnswer, entry: ServerEntry, attempt: int, now: float
+    ) -> None:
+        evidence = self.evidence(entry)
+        evidence.cold_until = now + result.warm_up_s if result.warm_up_s else 0.0
+        if result.verdict is Verdict.ANSWERED:
+            latency_s = evidence.on_answer(attempt, now)
+            if latency_s is not None:
+                work_s = max(0.0, latency_s - self._round_trip_s(entry))
+                self._service(entry.service).learn(work_s)
+            return
+        if result.verdict is Verdict.MISDIRECTED:
+            self._misdirected.add(entry.server)
+        evidence.on_failure(attempt, now)
+
+    def on_entry(self, entry: ServerEntry, now: float) -> None:
+        """Note a registration that is news."""
+        self._misdirected.discard(entry.server)
+        if entry.warm_up_s > 0:
+            self.evidence(entry).cold_until = now + entry.warm_up_s
+
+    def forget(self, server: str) -> None:
+        """Drop the evidence of a server that is gone."""
+        self._evidence.pop(server, None)
+        self._misdirected.discard(server)
+
+    def evidence(self, entry: ServerEntry) -> ServerEvidence:
+        """Return the evidence of a server, new if it was not seen yet."""
+        evidence = self._evidence.get(entry.server)
+        if evidence is None:
+            usual = self._service(entry.service).work_s
+            evidence = ServerEvidence(self._round_trip_s(entry) + usual)
+            self._evidence[entry.server] = evidence
+        return evidence
+
+    def _cost(self, entry: ServerEntry, now: float) -> float:
+        evidence = self.evidence(entry)
+        cost = evidence.expected_s(now)
+        work_s = max(cost - self._round_trip_s(entry), cost / 4)
+        cost += work_s * len(evidence.under_way) / max(1, entry.slots)
+        if evidence.is_silent(now):
+            cost += SILENCE_S
+        if now < evidence.cold_until:
+            cost += work_s * (COLD_FACTOR - 1)
+        if now < evidence.ejected_until:
+            cost += EJECTED_S
+        return cost * (1 + JITTER * self._rng.random())
+
+    def _round_trip_s(self, entry: ServerEntry) -> float:
+        measured = self._round_trips.get(entry.data_centre)
+        if measured is not None:
+            return measured
+        near = self._regions.get(entry.data_centre) == self._region
+        return NEAR_S if near else FAR_S
+
+    def _service(self, service: str) -> ServiceEvidence:
+        return self._services.setdefault(service, ServiceEvidence())
+
+    def _budget(self, service: str) -> ExtraBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            share = self._limits.repeat_ratio * BUDGET_SHARE
+            budget = ExtraBudget(share, self._allowance())
+            self._budgets[service] = budget
+        return budget
+
+    def _allowance(self) -> float:
+        return self._limits.repeat_slack * BUDGET_SHARE * self._share
--- /dev/null
+++ b/currantwharf/http1/__init__.py
@@ -0,0 +1,46 @@
+"""HTTP/1.1 on Twisted's transports, parsed by `httptools`.
+
+It carries the requests of callers and those to backend servers, where each
+millisecond of processor time counts; the operators' pages stay with `klein`.
+"""
+
+from currantwharf.http1.answer_reader import AnswerReader, BadAnswer
+from currantwharf.http1.backend_connection import BackendConnection
+from currantwharf.http1.caller_connection import CallerConnection
+from currantwharf.http1.connection_failure import ConnectionFailure
+from currantwharf.http1.connection_pool import ConnectionPool
+from currantwharf.http1.encode import encode_answer, encode_headers, encode_request
+from currantwharf.http1.exchange import Exchange, ExchangeResult
+from currantwharf.http1.message import (
+    Header,
+    HttpAnswer,
+    HttpRequest,
+    end_to_end,
+    find_header,
+)
+from currantwharf.http1.request_limits import RequestLimits
+from currantwharf.http1.request_reader import BadRequest, RequestReader
+from currantwharf.http1.responder import Responder
+
+__all__ = [
+    "AnswerReader",
+    "BackendConnection",
+    "BadAnswer",
+    "BadRequest",
+    "CallerConnection",
+    "ConnectionFailure",
+    "ConnectionPool",
+    "Exchange",
+    "ExchangeResult",
+    "Header",
+    "HttpAnswer",
+    "HttpRequest",
+    "RequestLimits",
+    "RequestReader",
+    "Responder",
+    "encode_answer",
+    "encode_headers",
+    "encode_request",
+    "end_to_end",
+    "find_header",
+]
--- /dev/null
+++ b/currantwharf/http1/backend_connection.py
@@ -0,0 +1,138 @@
+"""A connection to a backend server: one request at a time."""
+
+import contextlib
+import socket
+from collections.abc import Callable
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from currantwharf.http1.answer_reader import AnswerReader, BadAnswer
+from currantwharf.http1.connection_failure import ConnectionFailure
+from currantwharf.http1.exchange import Exchange
+from currantwharf.http1.message import HttpAnswer
+
+MOST_ANSWER_BYTES = 8_000_000  # bytes; far above what a backend server answers
+USER_TIMEOUT_MS = 3_000  # milliseconds without an acknowledgement; below contact time
+KEEPALIVE_S = 2  # seconds of silence before a probe, and between two probes
+KEEPALIVE_PROBES = 2  # probes without an answer
+IDLE_MARGIN_S = 1.0  # seconds kept from the idle time that a server has told
+
+
+def set_socket_options(transport: object) -> None:
+    """Make a silent peer show within seconds."""
+    sock = getattr(transport, "getHandle", lambda: None)()
+    if not isinstance(sock, socket.socket):
+        return
+    with contextlib.suppress(OSError):
+        # Without these options a silent peer only shows later.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+class BackendConnection(Protocol):
+    """Send one request and read its answer, again and again.
+
+    An answer that belongs to another request is dropped, and the connection is closed
+    after the one that is waited for: it has carried bytes that nobody asked for.
+    `on_free` is called when the connection may be used again, `on_closed` once when
+    it has ended.
+    """
+
+    def __init__(
+        self,
+        on_free: Callable[["BackendConnection"], None],
+        on_closed: Callable[["BackendConnection"], None],
+    ) -> None:
+        self.exchange: Exchange | None = None
+        self.idle_since = 0.0
+        self.idle_limit_s = float("inf")
+        self.is_usable = True
+        self._on_free = on_free
+        self._on_closed = on_closed
+        self._reader = AnswerReader(MOST_ANSWER_BYTES)
+        self._in_doubt = False
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Set the options of the socket."""
+        set_socket_options(self.transport)
+
+    def send(self, exchange: Exchange, now: float) -> None:
+        """Write a request."""
+        self.exchange = exchange
+        assert self.transport is not None
+        self.transport.write(exchange.encode(now))
+
+    def abort(self, failure: ConnectionFailure) -> None:
+        """Close the connection at once; its exchange fails with `failure`."""
+        self.is_usable = False
+        self._fail(failure)
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def close(self) -> None:
+        """Close the connection after what was written is sent."""
+        self.is_usable = False
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes of the server."""
+        try:
+            answers = self._reader.feed(data)
+        except BadAnswer:
+            self._in_doubt = True
+            for answer in self._reader.take_whole():
+                self._take(answer)
+            self.abort(ConnectionFailure.SPOILED)
+            return
+        for answer in answers:
+            self._take(answer)
+        if self.exchange is None and not self._reader.is_between:
+            self.abort(ConnectionFailure.SPOILED)
+        elif self.exchange is None and answers:
+            self._release()
+
+    def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
+        """Finish an answer that ends with its connection, or fail."""
+        clean = reason is not None and reason.check(ConnectionDone) is not None
+        if clean and self.exchange is not None:
+            answer = self._reader.finish()
+            if answer is not None:
+                self._take(answer)
+        self.is_usable = False
+        self._fail(ConnectionFailure.BROKEN)
+        self._on_closed(self)
+
+    def _take(self, answer: HttpAnswer) -> None:
+        exchange = self.exchange
+        if exchange is None or not exchange.belongs(answer):
+            self._in_doubt = True
+            return
+        self.exchange = None
+        self._note_idle_limit(answer)
+        exchange.finish(answer)
+
+    def _release(self) -> None:
+        if self._in_doubt or not self._reader.keep_alive:
+            self.close()
+        else:
+            self._on_free(self)
+
+    def _note_idle_limit(self, answer: HttpAnswer) -> None:
+        value = answer.get(b"keep-alive")
+        if value is None or b"timeout=" not in value:
+            return
+        digits = value.split(b"timeout=", 1)[1].split(b",", 1)[0].strip()
+        if digits.isdigit():
+            self.idle_limit_s = max(0.0, int(digits) - IDLE_MARGIN_S)
+
+    def _fail(self, failure: ConnectionFailure) -> None:
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.finish(failure)
--- /dev/null
+++ b/currantwharf/http1/caller_connection.py
@@ -0,0 +1,151 @@
+"""A connection of a caller: requests are answered one after the other."""
+
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from currantwharf.http1.backend_connection import set_socket_options
+from currantwharf.http1.encode import encode_answer
+from currantwharf.http1.message import Header, HttpRequest
+from currantwharf.http1.request_limits import RequestLimits
+from currantwharf.http1.request_reader import BadRequest, RequestReader
+from currantwharf.http1.responder import Responder
+
+MOST_PIPELINED = 32  # requests read ahead on one connection
+
+
+class CallerConnection(Protocol):
+    """Read requests, hand each to `handle` and write the answers in their order.
+
+    `is_closing` tells whether connections are to end: then each answer says so. The
+    owner calls `sweep` about once a second, which ends connections whose caller is
+    idle or slow beyond the limits.
+    """
+
+    def __init__(
+        self,
+        handle: Callable[[HttpRequest, Responder], None],
+        limits: RequestLimits,
+        clock: Callable[[], float],
+        is_closing: Callable[[], bool],
+        on_closed: Callable[["CallerConnection"], None],
+    ) -> None:
+        self._handle = handle
+        self._clock = clock
+        self._is_closing = is_closing
+        self._on_closed = on_closed
+        self._reader = RequestReader(limits)
+        self._queue: deque[HttpRequest | BadRequest] = deque()
+        self._responder: Responder | None = None
+        self._began_at = clock()
+        self._seen_at = self._began_at
+        self._head_since: float | None = None
+        self._is_new = True
+        self._is_ended = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is under way or partly read."""
+        return self._responder is not None or not self._reader.is_between
+
+    def set_limits(self, limits: RequestLimits) -> None:
+        """Take the limits of a new configuration for the requests to come."""
+        self._reader.limits = limits
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Set the options of the socket."""
+        set_socket_options(self.transport)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Take bytes of the caller."""
+        now = self._clock()
+        round_trip_s = now - self._began_at if self._is_new else 0.0
+        self._is_new = False
+        self._seen_at = now
+        if self._is_ended:
+            return
+        try:
+            self._queue.extend(self._reader.feed(data))
+        except BadRequest as exc:
+            self._queue.extend(self._reader.take_whole())
+            self._queue.append(exc)
+            self._is_ended = True
+        if self._reader.in_headers:
+            self._head_since = self._head_since or now
+        else:
+            self._head_since = None
+        if self._reader.expects_continue and not self._reader.is_between:
+            self._reader.expects_continue = False
+            assert self.transport is not None
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if len(self._queue) > MOST_PIPELINED:
+            self.close()
+            return
+        self._next(round_trip_s)
+
+    def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
+        """Tell the request under way that its caller has left."""
+        self._queue.clear()
+        self._is_ended = True
+        responder, self._responder = self._responder, None
+        if responder is not None:
+            responder.leave()
+        self._on_closed(self)
+
+    def sweep(self, now: float) -> None:
+        """End the connection if its caller is beyond the limits."""
+        if self._responder is not None:
+            return
+        limits = self._reader.limits
+        if self._head_since is not None and now - self._head_since > limits.header_s:
+            self._is_ended = True
+            self._refuse(BadRequest(408, "the headers took too long"))
+        elif now - self._seen_at > limits.idle_s:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection after what was written is sent."""
+        self._is_ended = True
+        if self.transport is not None:
+            self.transport.loseConnection()
+
+    def _next(self, round_trip_s: float = 0.0) -> None:
+        if self._responder is not None or not self._queue:
+            return
+        item = self._queue.popleft()
+        if isinstance(item, BadRequest):
+            self._refuse(item)
+            return
+        keep_alive, with_body = item.keep_alive, item.method != b"HEAD"
+
+        def write(status: int, headers: Iterable[Header], body: bytes) -> None:
+            self._answer(status, headers, body, keep_alive, with_body)
+
+        self._responder = Responder(write, round_trip_s)
+        self._handle(item, self._responder)
+
+    def _answer(
+        self,
+        status: int,
+        headers: Iterable[Header],
+        body: bytes,
+        keep_alive: bool,
+        with_body: bool,
+    ) -> None:
+        self._responder = None
+        self._seen_at = self._clock()
+        stays = keep_alive and not self._is_closing()
+        assert self.transport is not None
+        self.transport.write(encode_answer(status, headers, body, stays, with_body))
+        if not stays:
+            self.close()
+        elif self._queue:
+            self._next()
+
+    def _refuse(self, bad: BadRequest) -> None:
+        assert self.transport is not None
+        body = bad.why.encode() + b"\n"
+        self.transport.write(encode_answer(bad.status, (), body, keep_alive=False))
+        self.close()
--- /dev/null
+++ b/currantwharf/http1/responder.py
@@ -0,0 +1,43 @@
+"""The place where the answer to one request goes."""
+
+from collections.abc import Callable, Iterable
+
+from currantwharf.http1.message import Header
+
+
+class Responder:
+    """Write the answer to one request, once.
+
+    `when_gone` registers what is called if the caller leaves before the answer.
+    `round_trip_s` is the time between the connection and its first bytes, which is
+    about one round trip to the caller, in seconds; 0 on a connection in use.
+    """
+
+    __slots__ = ("_write", "_on_gone", "_is_done", "round_trip_s")
+
+    def __init__(
+        self,
+        write: Callable[[int, Iterable[Header], bytes], None],
+        round_trip_s: float = 0.0,
+    ) -> None:
+        self._write = write
+        self._on_gone: Callable[[], None] | None = None
+        self._is_done = False
+        self.round_trip_s = round_trip_s
+
+    def when_gone(self, on_gone: Callable[[], None]) -> None:
+        """Have `on_gone` called if the caller leaves without its answer."""
+        self._on_gone = on_gone
+
+    def finish(self, status: int, headers: Iterable[Header], body: bytes) -> None:
+        """Write the answer, unless the caller has left."""
+        if not self._is_done:
+            self._is_done = True
+            self._write(status, headers, body)
+
+    def leave(self) -> None:
+        """Note that the caller has left."""
+        if not self._is_done:
+            self._is_done = True
+            if self._on_gone is not None:
+                self._on_gone()
--- a/currantwharf/node/__init__.py
+++ b/currantwharf/node/__init__.py
@@ -1,8 +1,8 @@
 """The running process: tasks that own their state and talk by messages."""
 
-from currantwharf.node.clock import SystemClock
+from currantwharf.runtime.clock import SystemClock
 from currantwharf.node.instance import Instance
-from currantwharf.node.part_log import part_log, set_up_logs
+from currantwharf.runtime.part_log import part_log, set_up_logs
 from currantwharf.node.serve import listen, serve
 
 __all__ = [
--- a/currantwharf/node/entry_task.py
+++ b/currantwharf/node/entry_task.py
@@ -10,8 +10,8 @@
 
 from currantwharf.config import VersionedConfig
 from currantwharf.metrics import Recorder
-from currantwharf.node.clock import Clock
-from currantwharf.node.part_log import part_log
+from currantwharf.runtime.clock import Clock
+from currantwharf.runtime.part_log import part_log
 from currantwharf.node.post import Post
 from currantwharf.once import RunningOrder
 from currantwharf.query import (
--- a/currantwharf/node/fleet_task.py
+++ b/currantwharf/node/fleet_task.py
@@ -17,9 +17,9 @@
     Phase,
     new_life,
 )
-from currantwharf.node.clock import Clock
+from currantwharf.runtime.clock import Clock
 from currantwharf.node.interfaces import PeerCalls, PlatformCalls
-from currantwharf.node.part_log import part_log
+from currantwharf.runtime.part_log import part_log
 from currantwharf.node.platform_reader import PlatformReader
 from currantwharf.wire import Ack, Heartbeat, pack
 
--- a/currantwharf/node/instance.py
+++ b/currantwharf/node/instance.py
@@ -11,7 +11,7 @@
 from currantwharf.config import PublishedConfig, VersionedConfig
 from currantwharf.fleet import InstanceList, Phase
 from currantwharf.metrics import Recorder, make_sink
-from currantwharf.node.clock import Clock
+from currantwharf.runtime.clock import Clock
 from currantwharf.node.entry_task import EntryTask
 from currantwharf.node.fleet_task import FleetTask
 from currantwharf.node.interfaces import Interfaces
--- a/currantwharf/node/post.py
+++ b/currantwharf/node/post.py
@@ -7,9 +7,9 @@
 from twisted.internet.error import ConnectionRefusedError
 
 from currantwharf.adapters.http_errors import was_sent
-from currantwharf.node.clock import Clock
+from currantwharf.runtime.clock import Clock
 from currantwharf.node.interfaces import PeerCalls
-from currantwharf.node.part_log import part_log
+from currantwharf.runtime.part_log import part_log
 from currantwharf.node.reply_slot import ReplySlot
 from currantwharf.query import DeliveryFailed
 from currantwharf.wire import (
--- /dev/null
+++ b/currantwharf/platform/caller_protocol.py
@@ -0,0 +1,110 @@
+"""The callers' interface on the platform's wire."""
+
+from collections.abc import Callable
+
+import xxhash
+
+from currantwharf.gateway.call_result import CallOutcome, CallResult
+from currantwharf.gateway.entry_point import EntryPoint, Refusal
+from currantwharf.gateway.gateway_request import GatewayRequest
+from currantwharf.gateway.merge_records import merge_records
+from currantwharf.gateway.route import Route
+from currantwharf.http1 import Header, HttpRequest, Responder
+from currantwharf.platform import names
+from currantwharf.platform.backend_protocol import forwarded_headers
+
+SPARE_S = 0.003  # seconds for this instance's own work before an answer leaves
+RETRY_SOON = (names.RETRY_AFTER, b"0.25")  # seconds; a configuration is read in less
+
+STATUS = {
+    CallOutcome.NOT_RUN: 503,
+    CallOutcome.UNKNOWN: 502,
+    CallOutcome.TIMED_OUT: 504,
+}
+
+
+class CallerProtocol:
+    """Translate callers' requests and the results of their calls."""
+
+    def __init__(self, entry_point: EntryPoint, clock: Callable[[], float]) -> None:
+        self._entry_point = entry_point
+        self._clock = clock
+        self._longest_ms: dict[str, int] = {}
+
+    def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Run a request and answer it."""
+        host = request.get(b"host") or b""
+        path = request.target.partition(b"?")[0]
+        route = self._entry_point.find(host, path)
+        if isinstance(route, Refusal):
+            _refuse(route, responder)
+            return
+        request_id = request.get(names.REQUEST_ID)
+        if request_id is None or not request_id.isascii():
+            responder.finish(400, (), b"the request has no id\n")
+            return
+        translated = self._translate(request, request_id, route, responder)
+        call = self._entry_point.run(
+            translated, route, lambda result: _answer(result, route, responder)
+        )
+        responder.when_gone(lambda: self._entry_point.leave(call))
+
+    def _translate(
+        self,
+        request: HttpRequest,
+        request_id: bytes,
+        route: Route,
+        responder: Responder,
+    ) -> GatewayRequest:
+        now = self._clock()
+        timeout_ms = int(route.timeout_s * 1000)
+        value = request.get(names.DEADLINE_MS)
+        left_ms = int(value) if value is not None and value.isdigit() else timeout_ms
+        # What a caller's first attempt may take is the most that was seen; a later
+        # attempt has less left, and its target counts from the first.
+        longest_ms = max(left_ms, self._longest_ms.get(route.name, 0))
+        self._longest_ms[route.name] = longest_ms
+        spent_s = (longest_ms - left_ms) / 1000
+        way_s = 2 * responder.round_trip_s + SPARE_S
+        digest = xxhash.xxh3_64(request.target)
+        digest.update(request.method)
+        digest.update(request.body)
+        return GatewayRequest(
+            request_id.decode(),
+            request.method,
+            request.target,
+            forwarded_headers(request.headers),
+            request.body,
+            digest.hexdigest(),
+            now,
+            now + min(left_ms / 1000, route.timeout_s),
+            now + route.target_s - spent_s - way_s,
+        )
+
+
+def _answer(result: CallResult, route: Route, responder: Responder) -> None:
+    if result.outcome is not CallOutcome.ANSWERED:
+        headers: tuple[Header, ...] = ()
+        if result.outcome is CallOutcome.NOT_RUN:
+            headers = ((names.RETRY_AFTER, b"%.3f" % result.retry_after_s),)
+        body = f"{result.outcome}: {result.reason}\n".encode()
+        responder.finish(STATUS[result.outcome], headers, body)
+    elif route.shards:
+        missing = result.coverage.shards - result.coverage.answered
+        signatures = b", ".join(answer.signature for answer in result.answers)
+        body = merge_records([a.body for a in result.answers], route.top)
+        headers = (
+            (names.PART_SIGNATURES, signatures),
+            (names.MISSING_PARTS, b"%d" % missing),
+        )
+        responder.finish(200, headers, body)
+    else:
+        (answer,) = result.answers
+        responder.finish(answer.status, answer.headers, answer.body)
+
+
+def _refuse(refusal: Refusal, responder: Responder) -> None:
+    if refusal is Refusal.NO_ROUTE:
+        responder.finish(404, (), b"no route takes this request\n")
+    else:
+        responder.finish(503, (RETRY_SOON,), f"not run: {refusal}\n".encode())
--- /dev/null
+++ b/currantwharf/platform/ready_site.py
@@ -0,0 +1,16 @@
+"""The balancer's question whether this instance takes callers."""
+
+from collections.abc import Callable
+
+from currantwharf.http1 import HttpRequest, Responder
+from currantwharf.platform.names import READY_PATH
+
+
+def answer_ready(
+    request: HttpRequest, responder: Responder, is_ready: Callable[[], bool]
+) -> None:
+    """Answer the balancer."""
+    if request.target.partition(b"?")[0] != READY_PATH:
+        responder.finish(404, (), b"")
+    else:
+        responder.finish(200 if is_ready() else 503, (), b"")
--- /dev/null
+++ b/currantwharf/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions that several packages share: budgets and coverage."""
--- a/currantwharf/query/extra_budget.py
+++ b/currantwharf/policy/extra_budget.py
@@ -11,7 +11,8 @@
 
     Both counts are kept for slots of a second. An extra send is allowed only when the
     window's extra sends, with it, stay within the share, so a slow fleet can't be
-    made slower by hedging.
+    made slower by hedging. `allowance` is a number of extra sends in each window that
+    is allowed besides.
 
     >>> budget = ExtraBudget(0.05)
     >>> budget.add_sends(20, 0.0)
@@ -19,8 +20,9 @@
     (True, False)
     """
 
-    def __init__(self, share: float) -> None:
+    def __init__(self, share: float, allowance: float = 0.0) -> None:
         self.share = share
+        self.allowance = allowance
         self._slots: deque[tuple[int, int, int]] = deque()
         self._sends = 0
         self._extras = 0
@@ -32,7 +34,7 @@
     def take(self, now: float) -> bool:
         """Count one extra send if the share allows it; return whether it does."""
         self._drop_old(now)
-        if self._extras + 1 > self.share * self._sends:
+        if self._extras + 1 > self.share * self._sends + self.allowance:
             return False
         self._add(0, 1, now)
         return True
--- a/currantwharf/query/class_controller.py
+++ b/currantwharf/query/class_controller.py
@@ -10,7 +10,7 @@
 from hdrh.histogram import HdrHistogram
 
 from currantwharf.config import Targets
-from currantwharf.query.extra_budget import ExtraBudget
+from currantwharf.policy.extra_budget import ExtraBudget
 
 POLICY_AGE_S = 0.25  # seconds for which a policy is kept
 WINDOW_S = 10.0  # seconds that one histogram of latencies covers
--- a/currantwharf/query/query_result.py
+++ b/currantwharf/query/query_result.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from currantwharf.query.coverage import Coverage
+from currantwharf.policy.coverage import Coverage
 from currantwharf.wire import Hit, Outcome, Reason
 
 
--- a/currantwharf/query/running_query.py
+++ b/currantwharf/query/running_query.py
@@ -12,7 +12,7 @@
 from currantwharf.query.actions import Finish, QueryAction
 from currantwharf.query.caller_request import CallerRequest
 from currantwharf.query.class_controller import ClassController
-from currantwharf.query.coverage import Coverage
+from currantwharf.policy.coverage import Coverage
 from currantwharf.query.delivery_failed import DeliveryFailed
 from currantwharf.query.merge import merge_hits
 from currantwharf.query.pinned_snapshot import pin_snapshot
--- /dev/null
+++ b/currantwharf/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What a process needs of its machine: the clocks and the log."""
--- a/currantwharf/tests/mutations.py
+++ b/currantwharf/tests/mutations.py
@@ -15,7 +15,7 @@
 from currantwharf.once.claim_table import ClaimTable
 from currantwharf.once.running_order import RunningOrder
 from currantwharf.owner import ServerGate
-from currantwharf.query.coverage import Coverage
+from currantwharf.policy.coverage import Coverage
 from currantwharf.query.router import Router
 from currantwharf.query.running_query import RunningQuery
 from currantwharf.wire import ClaimReply, Outcome
