Answer incomplete queries in time for their callers

Cause: an incomplete answer left at the target less 3 ms, though the caller's round trip (2 ms and 6 ms, twice on a new connection) is part of the latency: 60 of 266 short lookups came 1 ms late. The time between accept and the first bytes is no measure: both come with the same packet.

Change: the kernel's round trip of the connection (TCP_INFO) is taken off the target, twice for the first request of a connection. Calls that were late, partial, refused or sent again are logged with what they waited for.

--- a/currantwharf/gateway/calls.py
+++ b/currantwharf/gateway/calls.py
@@ -35,7 +35,7 @@
 
 
 class Calls:
-    """Own all running calls of this instance."""
+    """Own all running calls of this instance; `on_result` hears how each ended."""
 
     def __init__(
         self,
@@ -44,8 +44,10 @@
         chooser: ServerChooser,
         pools: ServerPools,
         wire: BackendWire,
+        on_result: Callable[[RunningCall, CallResult, float], None],
     ) -> None:
         self.running: set[Call] = set()
+        self._on_result = on_result
         self._reactor = reactor
         self._clock = clock
         self._chooser = chooser
@@ -102,6 +104,7 @@
             if isinstance(action, FinishCall) and call in self.running:
                 self._end(call)
                 call.on_result(action.result)
+                self._on_result(call.run, action.result, now)
 
     def _send(self, call: Call, action: SendAttempt) -> None:
         request, entry, attempt = call.run.request, action.entry, action.attempt
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -12,6 +12,8 @@
 from twisted.internet.task import LoopingCall
 
 from currantwharf.gateway.backend_wire import BackendWire
+from currantwharf.gateway.call_log import CallLog
+from currantwharf.gateway.call_result import CallResult
 from currantwharf.gateway.calls import Calls
 from currantwharf.gateway.changes import RevisedChange, ServerRemoved
 from currantwharf.gateway.entry_point import EntryPoint
@@ -19,6 +21,7 @@
 from currantwharf.gateway.metadata_store import MetadataStore
 from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.registry_task import RegistryTask
+from currantwharf.gateway.running_call import RunningCall
 from currantwharf.gateway.server_choice import ServerChooser
 from currantwharf.gateway.server_directory import ServerDirectory
 from currantwharf.gateway.server_pools import ServerPools
@@ -65,7 +68,8 @@
         self.chooser = ServerChooser(directory, limits, region, regions, rng)
         self.registry = Registry(directory, self.chooser)
         self.pools = ServerPools(reactor, clock, self.chooser, self._connections_of)
-        self.calls = Calls(reactor, clock, self.chooser, self.pools, wire)
+        self.calls = Calls(reactor, clock, self.chooser, self.pools, wire, self._note)
+        self._call_log = CallLog()
         self.reader = RegistryTask(
             reactor, clock, store, self.registry, self._on_news, rng
         )
@@ -152,6 +156,10 @@
         for conn in self.callers:
             conn.set_limits(limits)
 
+    def _note(self, call: RunningCall, result: CallResult, now: float) -> None:
+        config = self.registry.config
+        self._call_log.on_result(call, result, config.version if config else 0, now)
+
     def _forget(self, server: str) -> None:
         self.pools.close(server)
         self.chooser.forget(server)
--- a/currantwharf/gateway/part_call.py
+++ b/currantwharf/gateway/part_call.py
@@ -20,7 +20,8 @@
 
     `ran_on` counts the servers that have the request or may have run it. `hedge_at`
     is when an attempt under way counts as late, `retry_at` when a server is looked
-    for again; both None where nothing waits for them.
+    for again; both None where nothing waits for them. `why_not_again` tells why it was
+    not sent again when it might have been.
     """
 
     service: str
@@ -31,6 +32,7 @@
     arrived: bool = False
     hedge_at: float | None = None
     retry_at: float | None = None
+    why_not_again: str = ""
     answer: BackendAnswer | None = None
     failure: BackendAnswer | None = None
 
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -159,10 +159,12 @@
             return
         entry = self._chooser.choose(part.service, self.route, part.tried, now)
         if entry is None:
+            part.why_not_again = "no server"
             part.tried.clear()
             part.retry_at = now + RETRY_S
             return
         if part.arrived and not self._chooser.may_repeat(part.service, now):
+            part.why_not_again = "budget spent"
             part.retry_at = now + RETRY_S
             return
         self._send_to(part, entry, now, actions)
@@ -195,12 +197,15 @@
         part.hedge_at = None
         entry = self._chooser.choose(part.service, self.route, part.tried, now)
         if entry is None:
+            part.why_not_again = "no other server"
             return
         arrival = now + self._chooser.expected_s(entry, now)
         in_time = arrival + LEAST_GAIN_S < self.request.target_at
         if not in_time and self._merges and self._coverage_is_enough():
+            part.why_not_again = "too late for the target"
             return
         if not self._chooser.may_repeat(part.service, now):
+            part.why_not_again = "budget spent"
             part.hedge_at = now + RETRY_S
             return
         part.arrived = True
--- a/currantwharf/http1/caller_connection.py
+++ b/currantwharf/http1/caller_connection.py
@@ -12,6 +12,7 @@
 from currantwharf.http1.request_limits import RequestLimits
 from currantwharf.http1.request_reader import BadRequest, RequestReader
 from currantwharf.http1.responder import Responder
+from currantwharf.http1.round_trip import round_trip_s
 
 MOST_PIPELINED = 32  # requests read ahead on one connection
 
@@ -39,10 +40,9 @@
         self._reader = RequestReader(limits)
         self._queue: deque[HttpRequest | BadRequest] = deque()
         self._responder: Responder | None = None
-        self._began_at = clock()
-        self._seen_at = self._began_at
+        self._seen_at = clock()
         self._head_since: float | None = None
-        self._is_new = True
+        self._is_first = True
         self._is_ended = False
 
     @property
@@ -61,8 +61,6 @@
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take bytes of the caller."""
         now = self._clock()
-        round_trip_s = now - self._began_at if self._is_new else 0.0
-        self._is_new = False
         self._seen_at = now
         if self._is_ended:
             return
@@ -83,7 +81,7 @@
         if len(self._queue) > MOST_PIPELINED:
             self.close()
             return
-        self._next(round_trip_s)
+        self._next()
 
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         """Tell the request under way that its caller has left."""
@@ -111,7 +109,7 @@
         if self.transport is not None:
             self.transport.loseConnection()
 
-    def _next(self, round_trip_s: float = 0.0) -> None:
+    def _next(self) -> None:
         if self._responder is not None or not self._queue:
             return
         item = self._queue.popleft()
@@ -123,7 +121,10 @@
         def write(status: int, headers: Iterable[Header], body: bytes) -> None:
             self._answer(status, headers, body, keep_alive, with_body)
 
-        self._responder = Responder(write, round_trip_s)
+        round_trips = 2 if self._is_first else 1
+        self._is_first = False
+        way_s = round_trips * round_trip_s(self.transport)
+        self._responder = Responder(write, way_s)
         self._handle(item, self._responder)
 
     def _answer(
--- a/currantwharf/http1/responder.py
+++ b/currantwharf/http1/responder.py
@@ -9,21 +9,21 @@
     """Write the answer to one request, once.
 
     `when_gone` registers what is called if the caller leaves before the answer.
-    `round_trip_s` is the time between the connection and its first bytes, which is
-    about one round trip to the caller, in seconds; 0 on a connection in use.
+    `way_s` is the time in seconds that the caller waits beside the time here: a round
+    trip for the request and its answer, and one more if the connection is new.
     """
 
-    __slots__ = ("_write", "_on_gone", "_is_done", "round_trip_s")
+    __slots__ = ("_write", "_on_gone", "_is_done", "way_s")
 
     def __init__(
         self,
         write: Callable[[int, Iterable[Header], bytes], None],
-        round_trip_s: float = 0.0,
+        way_s: float = 0.0,
     ) -> None:
         self._write = write
         self._on_gone: Callable[[], None] | None = None
         self._is_done = False
-        self.round_trip_s = round_trip_s
+        self.way_s = way_s
 
     def when_gone(self, on_gone: Callable[[], None]) -> None:
         """Have `on_gone` called if the caller leaves without its answer."""
--- a/currantwharf/platform/caller_protocol.py
+++ b/currantwharf/platform/caller_protocol.py
@@ -13,7 +13,7 @@
 from currantwharf.platform import names
 from currantwharf.platform.backend_protocol import forwarded_headers
 
-SPARE_S = 0.003  # seconds for this instance's own work before an answer leaves
+SPARE_S = 0.004  # seconds for this instance's own work before an answer leaves
 RETRY_SOON = (names.RETRY_AFTER, b"0.25")  # seconds; a configuration is read in less
 
 STATUS = {
@@ -65,7 +65,7 @@
         longest_ms = max(left_ms, self._longest_ms.get(route.name, 0))
         self._longest_ms[route.name] = longest_ms
         spent_s = (longest_ms - left_ms) / 1000
-        way_s = 2 * responder.round_trip_s + SPARE_S
+        way_s = responder.way_s + SPARE_S
         digest = xxhash.xxh3_64(request.target)
         digest.update(request.method)
         digest.update(request.body)
