Pace the watches of the store

Change: 0.7 s between two watches after one that brought news; what happens meanwhile comes in one answer.

--- a/currantwharf/gateway/registry_task.py
+++ b/currantwharf/gateway/registry_task.py
@@ -13,6 +13,7 @@
 from currantwharf.runtime.part_log import part_log
 
 WATCH_S = 20.0  # seconds that a watch waits; below the 30 s that a store allows
+PACE_S = 0.7  # seconds between two watches; changes meanwhile come in one answer
 FIRST_WAIT_S = 0.1  # seconds before a call is made again after a failure
 LONGEST_WAIT_S = 0.8  # seconds; a store that is back is read well within a second
 
@@ -84,6 +85,8 @@
         self._registry.revision = max(self._registry.revision, found.revision)
         if news:
             self._on_news(news)
+        if found.changes:
+            await self._wait(PACE_S)
         return found.revision
 
     def _note_answer(self) -> None:
@@ -101,7 +104,9 @@
             log.warning("the store does not answer", extra={"why": failure.value})
         wait_s = min(FIRST_WAIT_S * 2**self._failures, LONGEST_WAIT_S)
         self._failures = min(self._failures + 1, 8)
+        await self._wait(wait_s * self._rng.uniform(0.5, 1.0))
+
+    def _wait(self, seconds: float) -> "Deferred[None]":
         waited: Deferred[None] = Deferred()
-        delay_s = wait_s * self._rng.uniform(0.5, 1.0)
-        self._reactor.callLater(delay_s, waited.callback, None)
-        await waited
+        self._reactor.callLater(seconds, waited.callback, None)
+        return waited
