Let a few instances read the store and tell the others

Cause: each instance watched the store by itself, which grows with the fleet; an instance that the store turned away heard nothing.

Change: package peers. Instances find each other from the seeds and gossip by datagrams of constant number and size: whom they have heard, which revision they have, small changes. One instance of each data centre watches the store, chosen by rendezvous hashing among those that the store answers; larger changes are fetched from near peers. Budgets are shared by the number of instances heard of.

--- a/currantwharf/cli/gateway_command.py
+++ b/currantwharf/cli/gateway_command.py
@@ -30,5 +30,5 @@
     from currantwharf.platform.serve import serve
     from currantwharf.runtime.part_log import set_up_logs
 
-    set_up_logs("info", settings.instance)
+    set_up_logs("info", settings.place.instance)
     sys.exit(serve(settings, reactor))
--- a/currantwharf/fleet/__init__.py
+++ b/currantwharf/fleet/__init__.py
@@ -8,7 +8,7 @@
 from currantwharf.fleet.owners import Owners
 from currantwharf.fleet.pause import PauseDetector
 from currantwharf.fleet.readers import READERS_PER_DATA_CENTRE, is_reader
-from currantwharf.fleet.rendezvous import highest, top
+from currantwharf.policy.rendezvous import highest, top
 
 __all__ = [
     "EMPTY_LIST",
--- a/currantwharf/fleet/owners.py
+++ b/currantwharf/fleet/owners.py
@@ -7,7 +7,7 @@
 
 from currantwharf.config import PublishedConfig
 from currantwharf.fleet.membership import Membership
-from currantwharf.fleet.rendezvous import highest, score
+from currantwharf.policy.rendezvous import highest, score
 
 
 class Owners:
--- a/currantwharf/fleet/readers.py
+++ b/currantwharf/fleet/readers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from currantwharf.fleet.rendezvous import top
+from currantwharf.policy.rendezvous import top
 
 READERS_PER_DATA_CENTRE = 2
 READER_KEY = "platform-reader"
--- a/currantwharf/gateway/changes.py
+++ b/currantwharf/gateway/changes.py
@@ -1,35 +1,38 @@
-"""What changes in the platform's store, in this project's terms."""
+"""What changes in the platform's store, in this project's terms.
 
-from dataclasses import dataclass
+Instances tell each other of changes, so these types are also what is sent.
+"""
+
+import msgspec
 
 from currantwharf.gateway.gateway_config import GatewayConfig
 from currantwharf.gateway.server_entry import ServerEntry
 
 
-@dataclass(frozen=True, slots=True)
-class ConfigChanged:
-    """A configuration was published; `document` is the text that it was read from."""
+class ConfigChanged(msgspec.Struct, frozen=True, tag="config"):
+    """A configuration was published."""
 
     config: GatewayConfig
-    document: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class ServerChanged:
+class ServerChanged(msgspec.Struct, frozen=True, tag="server"):
     """A backend server has registered itself anew."""
 
     entry: ServerEntry
 
 
-@dataclass(frozen=True, slots=True)
-class ServerRemoved:
-    """The registration of a backend server has ended, or can't be used."""
+class ServerRemoved(msgspec.Struct, frozen=True, tag="removed"):
+    """The registration of a backend server has ended, or can't be used.
+
+    `may_return` is true if the store had been away just before, so that the
+    registration may have lapsed though its server lives.
+    """
 
     server: str
+    may_return: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class DataCentreChanged:
+class DataCentreChanged(msgspec.Struct, frozen=True, tag="data-centre"):
     """A data centre was taken out, or is in service again."""
 
     data_centre: str
@@ -39,30 +42,23 @@
 StoreChange = ConfigChanged | ServerChanged | ServerRemoved | DataCentreChanged
 
 
-@dataclass(frozen=True, slots=True)
-class RevisedChange:
-    """Hold a change, the key that it is about and the store's revision of it.
-
-    `age_s` is how long ago it was read from the store, in seconds.
-    """
+class RevisedChange(msgspec.Struct, frozen=True):
+    """Hold a change and the store's revision of it."""
 
-    key: str
     revision: int
     change: StoreChange
-    age_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class StoreSnapshot:
+class StoreSnapshot(msgspec.Struct, frozen=True, tag="snapshot"):
     """Hold all that is published, and the revision from which to watch."""
 
     changes: tuple[RevisedChange, ...]
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class StoreEvents:
-    """Hold what came out of one watch, and the revision from which to go on."""
+class StoreEvents(msgspec.Struct, frozen=True, tag="events"):
+    """Hold the changes after one revision, up to and with another."""
 
     changes: tuple[RevisedChange, ...]
+    after: int
     revision: int
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -19,6 +19,7 @@
 from currantwharf.gateway.entry_point import EntryPoint
 from currantwharf.gateway.gateway_limits import GatewayLimits
 from currantwharf.gateway.metadata_store import MetadataStore
+from currantwharf.gateway.place import Place
 from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.registry_task import RegistryTask
 from currantwharf.gateway.running_call import RunningCall
@@ -26,6 +27,8 @@
 from currantwharf.gateway.server_directory import ServerDirectory
 from currantwharf.gateway.server_pools import ServerPools
 from currantwharf.http1 import CallerConnection, RequestLimits
+from currantwharf.peers.peer_table import PeerTable
+from currantwharf.peers.peer_task import PeerTask
 from currantwharf.runtime.clock import Clock
 from currantwharf.runtime.part_log import part_log
 
@@ -52,8 +55,7 @@
         self,
         reactor: Any,
         clock: Clock,
-        region: str,
-        regions: dict[str, str],
+        place: Place,
         limits: GatewayLimits,
         store: MetadataStore,
         wire: BackendWire,
@@ -65,19 +67,40 @@
         self._clock = clock
         self._limits = limits
         directory = ServerDirectory()
-        self.chooser = ServerChooser(directory, limits, region, regions, rng)
+        self.chooser = ServerChooser(
+            directory, limits, place.region, place.regions, rng
+        )
         self.registry = Registry(directory, self.chooser)
         self.pools = ServerPools(reactor, clock, self.chooser, self._connections_of)
         self.calls = Calls(reactor, clock, self.chooser, self.pools, wire, self._note)
         self._call_log = CallLog()
+        self.table = PeerTable(place.instance, place.data_centre, rng)
         self.reader = RegistryTask(
-            reactor, clock, store, self.registry, self._on_news, rng
+            reactor,
+            clock,
+            store,
+            self.registry,
+            self._is_reader,
+            self._on_store_news,
+            rng,
         )
-        self.entry_point = EntryPoint(
-            self.registry, self.calls, lambda: self.reader.is_store_up
+        self.peers = PeerTask(
+            reactor,
+            clock,
+            place,
+            f"{rng.getrandbits(64):016x}",
+            self.table,
+            self.registry,
+            lambda: (self.is_ready, self.reader.can_read),
+            lambda: (),
+            self._on_news,
+            lambda losses: None,
+            rng,
         )
+        self.entry_point = EntryPoint(self.registry, self.calls, self._is_current)
         self._sweep = LoopingCall(self._on_sweep)
         self._sweep.clock = reactor
+        self._share = 0.0
         self._stop_at: float | None = None
         self._on_stopped: Callable[[], None] | None = None
         self._close_port: Callable[[], object] = lambda: None
@@ -85,6 +108,7 @@
 
     def start(self) -> None:
         """Begin to read and to look after what is overdue."""
+        self.peers.start()
         self.reader.start()
         self._sweep.start(SWEEP_S, now=False)
 
@@ -118,6 +142,7 @@
         now = self._clock.now()
         for server in self.registry.expire(now):
             self._forget(server)
+        self._set_share(1 / self.table.size(now))
         self.calls.sweep(now)
         self.pools.sweep(now)
         for conn in list(self.callers):
@@ -142,6 +167,28 @@
                 # The last answers are still to be written.
                 self._reactor.callLater(0.05, self._on_stopped)
 
+    def _set_share(self, share: float) -> None:
+        """Take the part of the fleet's budgets that this instance may spend."""
+        if not self.table.is_hearing(self._clock.now()):
+            # Alone or not heard of yet: others may run unseen.
+            share = min(share, 1 / self._limits.fleet_guess)
+        if share != self._share:
+            self._share = share
+            self.chooser.set_share(share)
+            self.pools.set_share(share)
+
+    def _is_reader(self) -> bool:
+        now = self._clock.now()
+        return self.table.reader(now, self.reader.can_read) == self.table.name
+
+    def _is_current(self) -> bool:
+        """Return whether what is known of the configuration is the newest."""
+        return self.reader.is_store_up or self.table.is_hearing(self._clock.now())
+
+    def _on_store_news(self, news: list[RevisedChange]) -> None:
+        self._on_news(news)
+        self.peers.tell()
+
     def _on_news(self, news: list[RevisedChange]) -> None:
         for change in news:
             found = change.change
--- a/currantwharf/gateway/registry.py
+++ b/currantwharf/gateway/registry.py
@@ -1,5 +1,6 @@
 """All that this instance believes of the platform: configuration and servers."""
 
+from collections import deque
 from functools import singledispatchmethod
 
 from currantwharf.gateway.changes import (
@@ -9,6 +10,7 @@
     ServerChanged,
     ServerRemoved,
     StoreChange,
+    StoreEvents,
     StoreSnapshot,
 )
 from currantwharf.gateway.gateway_config import GatewayConfig
@@ -16,6 +18,7 @@
 from currantwharf.gateway.server_choice import ServerChooser
 from currantwharf.gateway.server_directory import ServerDirectory
 
+LOG_LENGTH = 4_000  # changes that peers can be told one by one
 AWAY_S = 3.0  # seconds after an outage in which ended registrations may come back
 
 
@@ -29,12 +32,14 @@
     def __init__(self, directory: ServerDirectory, chooser: ServerChooser) -> None:
         self.directory = directory
         self.config: GatewayConfig | None = None
-        self.document = b""
         self.routes = RouteTable(())
         self.revision = 0
         self.returned_at = -AWAY_S
         self._chooser = chooser
         self._out: dict[str, tuple[int, bool]] = {}
+        self._config_revision = 0
+        self._log: deque[RevisedChange] = deque(maxlen=LOG_LENGTH)
+        self._log_begins = 0
 
     @property
     def is_known(self) -> bool:
@@ -43,7 +48,46 @@
 
     def take(self, change: RevisedChange, now: float) -> bool:
         """Take one change in; return whether it is news."""
-        return self._apply(change.change, change.revision, now)
+        change = self._mark_removal(change, now)
+        is_news = self._apply(change.change, change.revision, now)
+        if is_news:
+            if len(self._log) == LOG_LENGTH:
+                self._log_begins = max(self._log_begins, self._log[0].revision)
+            self._log.append(change)
+        return is_news
+
+    def take_events(self, events: StoreEvents, now: float) -> list[RevisedChange]:
+        """Take changes in and return those that were news.
+
+        The revision moves on only if nothing is missing before these changes.
+        """
+        news = [change for change in events.changes if self.take(change, now)]
+        if self.revision >= events.after:
+            self.revision = max(self.revision, events.revision)
+        return news
+
+    def events_after(self, revision: int) -> StoreEvents | None:
+        """Return what has changed after a revision, or None if that is not known."""
+        if revision < self._log_begins:
+            return None
+        changes = tuple(c for c in self._log if c.revision > revision)
+        return StoreEvents(changes, revision, self.revision)
+
+    def snapshot(self) -> StoreSnapshot:
+        """Return all that is known, for a peer."""
+        changes = [
+            RevisedChange(revision, ServerChanged(entry))
+            for entry, revision in self.directory.entries()
+        ]
+        changes += [
+            RevisedChange(revision, DataCentreChanged(name, is_out))
+            for name, (revision, is_out) in self._out.items()
+            if is_out
+        ]
+        if self.config is not None:
+            config = ConfigChanged(self.config)
+            changes.append(RevisedChange(self._config_revision, config))
+        return StoreSnapshot(tuple(changes), self.revision)
 
     def take_snapshot(self, snapshot: StoreSnapshot, now: float) -> list[RevisedChange]:
         """Take everything in, end what is missing, and return what was news."""
@@ -55,9 +99,9 @@
         }
         for server, revision in self.directory.revisions().items():
             if server not in present and revision <= snapshot.revision:
-                removed = ServerRemoved(server)
-                self._apply(removed, snapshot.revision, now)
-                news.append(RevisedChange(server, snapshot.revision, removed))
+                removed = RevisedChange(snapshot.revision, ServerRemoved(server))
+                self.take(removed, now)
+                news.append(removed)
         still_out = {
             change.change.data_centre
             for change in snapshot.changes
@@ -65,16 +109,26 @@
         }
         for name, (revision, is_out) in list(self._out.items()):
             if is_out and name not in still_out and revision <= snapshot.revision:
-                back = DataCentreChanged(name, False)
-                self._apply(back, snapshot.revision, now)
-                news.append(RevisedChange(name, snapshot.revision, back))
-        self.revision = max(self.revision, snapshot.revision)
+                back = RevisedChange(snapshot.revision, DataCentreChanged(name, False))
+                self.take(back, now)
+                news.append(back)
+        if snapshot.revision > self.revision:
+            self.revision = snapshot.revision
+            self._log_begins = max(self._log_begins, snapshot.revision)
         return news
 
     def expire(self, now: float) -> list[str]:
         """Let go of servers whose registrations did not come back."""
         return self.directory.expire(now)
 
+    def _mark_removal(self, change: RevisedChange, now: float) -> RevisedChange:
+        """Note on a removal that the store was away a moment ago."""
+        removed = change.change
+        if not isinstance(removed, ServerRemoved) or now - self.returned_at >= AWAY_S:
+            return change
+        marked = ServerRemoved(removed.server, may_return=True)
+        return RevisedChange(change.revision, marked)
+
     @singledispatchmethod
     def _apply(self, change: StoreChange, revision: int, now: float) -> bool:
         raise NotImplementedError(type(change))
@@ -84,7 +138,7 @@
         if self.config is not None and change.config.version <= self.config.version:
             return False
         self.config = change.config
-        self.document = change.document
+        self._config_revision = revision
         self.routes = RouteTable(change.config.routes)
         return True
 
@@ -97,8 +151,7 @@
 
     @_apply.register
     def _(self, change: ServerRemoved, revision: int, now: float) -> bool:
-        may_return = now - self.returned_at < AWAY_S
-        return self.directory.remove(change.server, revision, now, may_return)
+        return self.directory.remove(change.server, revision, now, change.may_return)
 
     @_apply.register
     def _(self, change: DataCentreChanged, revision: int, now: float) -> bool:
--- a/currantwharf/gateway/server_directory.py
+++ b/currantwharf/gateway/server_directory.py
@@ -87,6 +87,10 @@
         removal = self._removed.get(server)
         return removal is not None and removal.entry is not None
 
+    def entries(self) -> list[tuple[ServerEntry, int]]:
+        """Return all registrations with their revisions."""
+        return [(entry, revision) for revision, entry in self._entries.values()]
+
     def revisions(self) -> dict[str, int]:
         """Return the revision of each registration."""
         return {server: revision for server, (revision, _) in self._entries.items()}
--- a/currantwharf/owner/__init__.py
+++ b/currantwharf/owner/__init__.py
@@ -16,7 +16,7 @@
     ItemOutcome,
 )
 from currantwharf.owner.condition import Condition
-from currantwharf.owner.crash_table import CrashTable, crash_key, fingerprint_of
+from currantwharf.policy.crash_table import CrashTable, crash_key, fingerprint_of
 from currantwharf.owner.limit import ServerLimit
 from currantwharf.owner.server_gate import (
     SILENT_TAKEOVER_WAIT_S,
--- /dev/null
+++ b/currantwharf/peers/hello.py
@@ -0,0 +1,66 @@
+"""The datagram that instances send each other."""
+
+import msgspec
+
+from currantwharf.gateway.changes import StoreEvents
+
+
+class MemberNews(msgspec.Struct, frozen=True, array_like=True):
+    """Tell of one instance; `age_s` is how long ago it was heard, in seconds."""
+
+    name: str
+    host: str
+    data_centre: str
+    age_s: float
+
+
+class LossNews(msgspec.Struct, frozen=True, array_like=True):
+    """Tell of a backend server that was lost while it ran a request.
+
+    `key` is the request's fingerprint and `boot` the start of the server.
+    """
+
+    key: str
+    boot: str
+    age_s: float
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True):
+    """Tell how the sender stands and what it has heard.
+
+    `can_read` is false if the store has just failed it, `revision` the store's
+    revision up to which it knows all changes. `events` carries the newest changes if
+    they are small; larger ones are fetched by whoever lacks them.
+    """
+
+    name: str
+    boot: str
+    host: str
+    data_centre: str
+    is_serving: bool
+    can_read: bool
+    revision: int
+    members: tuple[MemberNews, ...] = ()
+    losses: tuple[LossNews, ...] = ()
+    events: StoreEvents | None = None
+    wants_reply: bool = False
+
+
+_decoder = msgspec.msgpack.Decoder(Hello)
+
+
+def encode_hello(hello: Hello) -> bytes:
+    """Return the datagram of a hello."""
+    return msgspec.msgpack.encode(hello)
+
+
+def decode_hello(data: bytes) -> Hello | None:
+    """Return the hello in a datagram, or None if it holds none.
+
+    >>> decode_hello(b"no") is None
+    True
+    """
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/currantwharf/peers/peer_table.py
@@ -0,0 +1,122 @@
+"""The other instances, as far as they were heard of."""
+
+import random
+from dataclasses import dataclass, replace
+
+from currantwharf.policy.rendezvous import highest
+from currantwharf.peers.hello import Hello, MemberNews
+
+LIVE_S = 8.0  # seconds without a word after which an instance is no longer counted
+READER_S = 3.0  # seconds without a word after which another one reads the store
+FORGET_S = 60.0  # seconds after which a silent instance is not asked any more
+NEWS = 4  # instances that one datagram tells of
+PEAK_S = 30.0  # seconds for which the largest fleet is remembered
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Hold what is known of one instance; `heard_at` also counts hearsay."""
+
+    name: str
+    host: str
+    data_centre: str
+    heard_at: float
+    can_read: bool = True
+    revision: int = 0
+
+
+class PeerTable:
+    """Know whom to tell, how many instances there are and who reads the store."""
+
+    def __init__(self, name: str, data_centre: str, rng: random.Random) -> None:
+        self.name = name
+        self._data_centre = data_centre
+        self._rng = rng
+        self._peers: dict[str, Peer] = {}
+        self._peak = 1
+        self._peak_at = 0.0
+
+    def take(self, hello: Hello, now: float) -> bool:
+        """Note a hello; return whether its sender was unknown."""
+        if hello.name == self.name:
+            return False
+        is_new = hello.name not in self._peers
+        self._peers[hello.name] = Peer(
+            hello.name,
+            hello.host,
+            hello.data_centre,
+            now,
+            hello.can_read,
+            hello.revision,
+        )
+        for news in hello.members:
+            self._take_news(news, now)
+        return is_new
+
+    def news(self, now: float) -> tuple[MemberNews, ...]:
+        """Return what a datagram tells of others, the reader of the store first."""
+        live = [peer for peer in self._peers.values() if now - peer.heard_at < LIVE_S]
+        chosen = self._rng.sample(live, min(NEWS, len(live)))
+        reader = self._peers.get(self.reader(now, can_read=True) or "")
+        if reader is not None and reader not in chosen and chosen:
+            chosen[0] = reader
+        return tuple(
+            MemberNews(
+                peer.name, peer.host, peer.data_centre, round(now - peer.heard_at, 2)
+            )
+            for peer in chosen
+        )
+
+    def targets(self, now: float, near: int, far: int) -> list[Peer]:
+        """Return instances to tell: some of this data centre and some of others."""
+        known = [peer for peer in self._peers.values() if now - peer.heard_at < FORGET_S]
+        own = [peer for peer in known if peer.data_centre == self._data_centre]
+        others = [peer for peer in known if peer.data_centre != self._data_centre]
+        return [
+            *self._rng.sample(own, min(near, len(own))),
+            *self._rng.sample(others, min(far, len(others))),
+        ]
+
+    def reader(self, now: float, can_read: bool) -> str | None:
+        """Return who reads the store for this data centre.
+
+        `can_read` tells whether this instance could. Where none could, the one that
+        would be chosen goes on trying.
+        """
+        live = {
+            peer.name: peer.can_read
+            for peer in self._peers.values()
+            if peer.data_centre == self._data_centre and now - peer.heard_at < READER_S
+        }
+        live[self.name] = can_read
+        able = [name for name, able in live.items() if able]
+        return highest(f"reader|{self._data_centre}", able or live)
+
+    def is_hearing(self, now: float) -> bool:
+        """Return whether any other instance was heard a moment ago."""
+        return any(now - peer.heard_at < READER_S for peer in self._peers.values())
+
+    def size(self, now: float) -> int:
+        """Return the number of instances, the largest of the last while."""
+        live = sum(now - peer.heard_at < LIVE_S for peer in self._peers.values())
+        size = 1 + live
+        if size >= self._peak or now - self._peak_at > PEAK_S:
+            self._peak, self._peak_at = size, now
+        return self._peak
+
+    def expire(self, now: float) -> None:
+        """Forget instances that have been silent for long."""
+        for name, peer in list(self._peers.items()):
+            if now - peer.heard_at > FORGET_S:
+                del self._peers[name]
+
+    def _take_news(self, news: MemberNews, now: float) -> None:
+        if news.name == self.name:
+            return
+        heard_at = now - max(0.0, news.age_s)
+        known = self._peers.get(news.name)
+        if known is None:
+            known = Peer(news.name, news.host, news.data_centre, heard_at)
+            self._peers[news.name] = known
+        elif known.heard_at < heard_at:
+            self._peers[news.name] = replace(known, heard_at=heard_at)
--- a/currantwharf/platform/decode_store.py
+++ b/currantwharf/platform/decode_store.py
@@ -49,7 +49,7 @@
     change = _decode(item)
     if change is None:
         return None
-    return RevisedChange(item.key, item.revision, change)
+    return RevisedChange(item.revision, change)
 
 
 def decode_config(document: bytes) -> Result[GatewayConfig, UnusableItem]:
@@ -84,7 +84,7 @@
         why = str(found.unwrap_err())
         log.warning("configuration unreadable", extra={"why": why})
         return None
-    return ConfigChanged(found.unwrap(), document)
+    return ConfigChanged(found.unwrap())
 
 
 def _decode_server(server: str, item: ItemDocument) -> StoreChange:
--- a/currantwharf/platform/platform_settings.py
+++ b/currantwharf/platform/platform_settings.py
@@ -1,6 +1,5 @@
 """The settings that the platform gives each process."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -11,28 +10,19 @@
 from currantwharf.documents.invalid_document import InvalidDocument
 from currantwharf.documents.problem import Problem
 from currantwharf.gateway.gateway_limits import GatewayLimits
+from currantwharf.gateway.place import Place
 
 Address = tuple[str, int]
 
 
 @dataclass(frozen=True, slots=True)
 class PlatformSettings:
-    """Hold the settings of one instance, in this project's terms.
+    """Hold the settings of one instance: its place and the addresses it serves."""
 
-    `regions` maps data centres to regions. `peer_ports` is the range of ports for
-    exchanges between instances; `seeds` are peers' addresses that may be out of date.
-    """
-
-    instance: str
-    ip: str
-    data_centre: str
-    region: str
-    regions: Mapping[str, str]
+    place: Place
     callers: Address
     ready: Address
     peers: Address
-    peer_ports: tuple[int, int]
-    seeds: tuple[Address, ...]
     store: Address
     limits: GatewayLimits
 
@@ -103,17 +93,23 @@
 
 def _translate(file: _File) -> PlatformSettings:
     bounds = file.bounds
-    return PlatformSettings(
+    peers = parse_address(file.listen.control)
+    seeds = [parse_address(seed)[0] for seed in file.seeds]
+    place = Place(
         file.node_name,
         file.ip,
         file.zone,
         file.region,
         file.zones,
+        file.port_range[0],
+        peers[1],
+        tuple(dict.fromkeys(seeds)),
+    )
+    return PlatformSettings(
+        place,
         parse_address(file.listen.front),
         parse_address(file.listen.ready),
-        parse_address(file.listen.control),
-        file.port_range,
-        tuple(parse_address(seed) for seed in file.seeds),
+        peers,
         parse_address(file.platform.address),
         GatewayLimits(
             bounds.retry_budget_ratio,
--- a/currantwharf/platform/serve.py
+++ b/currantwharf/platform/serve.py
@@ -30,8 +30,7 @@
     gateway = Gateway(
         reactor,
         clock,
-        settings.region,
-        dict(settings.regions),
+        settings.place,
         settings.limits,
         StoreClient(reactor, clock, settings.store),
         PlatformBackendWire(),
@@ -62,7 +61,17 @@
             handle, RequestLimits(), clock.now, lambda: False, lambda conn: None
         )
 
+    def peer_connection() -> CallerConnection:
+        return CallerConnection(
+            gateway.peers.answer_fetch,
+            RequestLimits(),
+            clock.now,
+            lambda: False,
+            lambda conn: None,
+        )
+
     try:
+        listen(settings.peers, peer_connection)
         listen(settings.ready, ready_connection)
         port = listen(settings.callers, caller_connection)
     except CannotListenError as exc:
@@ -77,7 +86,7 @@
     reactor.callWhenRunning(signal.signal, signal.SIGINT, begin_stop)
     reactor.callWhenRunning(signal.signal, signal.SIGHUP, signal.SIG_IGN)
     gateway.start()
-    log.info("started", extra={"instance": settings.instance})
+    log.info("started", extra={"instance": settings.place.instance})
     reactor.run(installSignalHandlers=False)
     log.info("stopped")
     return 0
--- a/currantwharf/platform/store_client.py
+++ b/currantwharf/platform/store_client.py
@@ -85,7 +85,9 @@
         found = await self._call(WATCH_PATH, query, timeout_s, WatchDocument)
         if isinstance(found, StoreFailure):
             return found
-        return StoreEvents(tuple(_decode_items(found.events)), found.store_revision)
+        return StoreEvents(
+            tuple(_decode_items(found.events)), after, found.store_revision
+        )
 
     async def _call(
         self, path: str, query: dict[str, Any], timeout_s: float, shape: type
