Hold crashing requests, tell pauses, bound logs, serve metrics

Cause: a request that crashes each server would reach server after server from every instance; a woken process acted on old belief; nothing was logged or counted in a form that holds under load; settings were not reloaded.

Change: a connection that breaks counts as a crash if the server then refuses connections; the third crash anywhere holds the request, by losses in datagrams. A pause (by either clock) refuses work until a peer or the store was heard, 1.5 s at most. Prometheus text at port 9464. SIGHUP reloads.

--- a/currantwharf/cli/gateway_command.py
+++ b/currantwharf/cli/gateway_command.py
@@ -16,7 +16,7 @@
     "--settings",
     "path",
     type=click.Path(path_type=Path),
-    help=f"YAML file that the platform writes; by default the one in {SETTINGS_VARIABLE}.",
+    help=f"YAML file that the platform writes; {SETTINGS_VARIABLE} names the default.",
 )
 def gateway(path: Path | None) -> None:
     """Run one instance on the users' platform until SIGTERM."""
@@ -28,7 +28,10 @@
     from twisted.internet import reactor
 
     from currantwharf.platform.serve import serve
+    from currantwharf.runtime.bounded_stream import BoundedStream
+    from currantwharf.runtime.clock import SystemClock
     from currantwharf.runtime.part_log import set_up_logs
 
-    set_up_logs("info", settings.place.instance)
-    sys.exit(serve(settings, reactor))
+    stream = BoundedStream(sys.stdout.fileno(), SystemClock().now)
+    set_up_logs("info", settings.place.instance, stream)
+    sys.exit(serve(settings, path, reactor))
--- a/currantwharf/cli/lazy_group.py
+++ b/currantwharf/cli/lazy_group.py
@@ -13,7 +13,9 @@
     the command stands in its module under its name with underscores.
     """
 
-    def __init__(self, *args: object, modules: dict[str, str], **kwargs: object) -> None:
+    def __init__(
+        self, *args: object, modules: dict[str, str], **kwargs: object
+    ) -> None:
         super().__init__(*args, **kwargs)  # type: ignore[arg-type]
         self._modules = modules
 
--- a/currantwharf/config/__init__.py
+++ b/currantwharf/config/__init__.py
@@ -5,15 +5,15 @@
 from currantwharf.config.check_references import check_references
 from currantwharf.config.data_centre import DataCentre
 from currantwharf.config.document import parse_document
-from currantwharf.documents.invalid_document import InvalidDocument
 from currantwharf.config.load_document import load_document
 from currantwharf.config.parse_config import parse_config
-from currantwharf.documents.problem import Problem
 from currantwharf.config.published_config import PublishedConfig
 from currantwharf.config.request_class import RequestClass
 from currantwharf.config.service import Service
 from currantwharf.config.targets import Targets
 from currantwharf.config.versioned_config import VersionedConfig
+from currantwharf.documents.invalid_document import InvalidDocument
+from currantwharf.documents.problem import Problem
 
 __all__ = [
     "BackendServer",
--- a/currantwharf/config/check_references.py
+++ b/currantwharf/config/check_references.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable, Iterator
 
-from currantwharf.documents.problem import Problem
 from currantwharf.config.published_config import PublishedConfig
+from currantwharf.documents.problem import Problem
 
 
 def check_references(config: PublishedConfig) -> tuple[Problem, ...]:
--- a/currantwharf/config/parse_config.py
+++ b/currantwharf/config/parse_config.py
@@ -5,10 +5,10 @@
 
 from currantwharf.config.check_references import check_references
 from currantwharf.config.document import parse_document
-from currantwharf.documents.invalid_document import InvalidDocument
-from currantwharf.documents.problem import Problem
 from currantwharf.config.published_config import PublishedConfig
 from currantwharf.config.versioned_config import VersionedConfig
+from currantwharf.documents.invalid_document import InvalidDocument
+from currantwharf.documents.problem import Problem
 
 CONFIG_SOURCE = "published configuration"
 
--- a/currantwharf/gateway/call_log.py
+++ b/currantwharf/gateway/call_log.py
@@ -63,7 +63,7 @@
             attempt.entry.server: _ms(now - attempt.sent_at)
             for attempt in part.attempts.values()
         },
-        "why_not_again": part.why_not_again,
+        "why_not_again": part.why_not_again and part.why_not_again.value,
     }
 
 
--- /dev/null
+++ b/currantwharf/gateway/call_metrics.py
@@ -0,0 +1,75 @@
+"""Counters and histograms of the calls, as text for a scraper."""
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+
+from currantwharf.gateway.call_result import CallResult
+from currantwharf.gateway.running_call import RunningCall
+
+# Upper bounds in seconds: from a shard near by to the longest deadlines.
+LATENCY_S = (0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0)
+COVERAGE = (0.5, 0.75, 0.85, 0.9, 0.95, 0.99, 1.0)
+
+
+class CallMetrics:
+    """Count calls for each class, which on a gateway is a route."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self._calls = Counter(
+            "currantwharf_calls",
+            "Calls by class, outcome and reason",
+            ("class", "outcome", "reason"),
+            registry=self.registry,
+        )
+        self._late = Counter(
+            "currantwharf_late_calls",
+            "Calls answered after their target",
+            ("class",),
+            registry=self.registry,
+        )
+        self._latency = Histogram(
+            "currantwharf_latency_seconds",
+            "Time from the request to its answer, at this instance",
+            ("class",),
+            buckets=LATENCY_S,
+            registry=self.registry,
+        )
+        self._coverage = Histogram(
+            "currantwharf_coverage",
+            "Share of the shards that an answer holds",
+            ("class",),
+            buckets=COVERAGE,
+            registry=self.registry,
+        )
+        self._sends = Counter(
+            "currantwharf_backend_requests",
+            "Requests to backend servers, first ones and repeats",
+            ("class", "kind"),
+            registry=self.registry,
+        )
+        self._events = Counter(
+            "currantwharf_events",
+            "Events of this instance",
+            ("event",),
+            registry=self.registry,
+        )
+
+    def on_result(self, call: RunningCall, result: CallResult, now: float) -> None:
+        """Count a result."""
+        name = call.route.name
+        self._calls.labels(name, result.outcome.value, result.reason.value).inc()
+        self._latency.labels(name).observe(now - call.request.arrived_at)
+        self._sends.labels(name, "first").inc(result.sends - result.extras)
+        self._sends.labels(name, "repeat").inc(result.extras)
+        if result.answers:
+            self._coverage.labels(name).observe(result.coverage.share)
+            if now > call.request.target_at:
+                self._late.labels(name).inc()
+
+    def count(self, event: str, amount: int = 1) -> None:
+        """Count an event."""
+        self._events.labels(event).inc(amount)
+
+    def text(self) -> bytes:
+        """Return everything in the exposition format."""
+        return generate_latest(self.registry)
--- a/currantwharf/gateway/calls.py
+++ b/currantwharf/gateway/calls.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from currantwharf.gateway.attempt_result import AttemptResult
+from currantwharf.gateway.backend_answer import BackendAnswer
 from currantwharf.gateway.backend_wire import BackendWire
 from currantwharf.gateway.call_actions import CallAction, FinishCall, SendAttempt
 from currantwharf.gateway.call_result import CallResult
@@ -122,11 +123,12 @@
     def _take(
         self, call: Call, attempt: int, result: HttpAnswer | ConnectionFailure
     ) -> None:
-        del call.exchanges[attempt]
+        entry, _ = call.exchanges.pop(attempt)
         del self._under_way[attempt]
         now = self._clock.now()
         known: AttemptResult
         known = self._wire.read(result) if isinstance(result, HttpAnswer) else result
+        self._watch_for_crash(call, entry, known, now)
         actions = call.run.take(attempt, known, now)
         if actions:
             self._do(call, actions, now)
@@ -134,6 +136,17 @@
         elif isinstance(result, ConnectionFailure):
             self._plan_wake(call, now)
 
+    def _watch_for_crash(
+        self, call: Call, entry: ServerEntry, result: AttemptResult, now: float
+    ) -> None:
+        crashes, fingerprint = self._chooser.crashes, call.run.request.fingerprint
+        if result is ConnectionFailure.BROKEN:
+            crashes.on_broken(fingerprint, entry.server, now)
+            # A connection that is refused proves that the server is gone.
+            self._pools.get(entry).prepare()
+        elif isinstance(result, BackendAnswer) and result.signature:
+            crashes.on_answer(fingerprint, entry.server)
+
     def _wake(self, call: Call) -> None:
         call.timer = None
         now = self._clock.now()
--- /dev/null
+++ b/currantwharf/gateway/crash_watch.py
@@ -0,0 +1,60 @@
+"""Find out which requests crash the servers that run them.
+
+A connection that breaks under a request is no proof: a server may have lost one answer.
+It counts as a crash if the server then accepts no connection. Losses are told to the
+other instances, so the third crash anywhere is the last.
+"""
+
+from currantwharf.peers.hello import LossNews
+from currantwharf.policy.crash_table import CrashTable
+from currantwharf.wire import CrashNews
+
+CRASHES_TO_HOLD = 3  # servers lost to a request before it is held everywhere
+CONFIRM_S = 1.5  # seconds in which a refused connection still proves the crash
+MOST_SUSPECTS = 512  # broken requests that wait for a proof
+
+
+class CrashWatch:
+    """Hold broken requests until the crash of their server is proved or not.
+
+    `changed` is true after a new loss was proved here, until it is taken back.
+    """
+
+    def __init__(self) -> None:
+        self.table = CrashTable(CRASHES_TO_HOLD)
+        self.changed = False
+        self._suspects: dict[str, list[tuple[str, float]]] = {}
+
+    def on_broken(self, fingerprint: str, server: str, now: float) -> None:
+        """Note that a connection broke under a request."""
+        if len(self._suspects) >= MOST_SUSPECTS:
+            self._suspects.pop(next(iter(self._suspects)))
+        self._suspects.setdefault(server, []).append((fingerprint, now))
+
+    def on_unreachable(self, server: str, now: float) -> None:
+        """Note that a server accepted no connection."""
+        for fingerprint, broken_at in self._suspects.pop(server, ()):
+            if now - broken_at <= CONFIRM_S:
+                self.table.note_loss(fingerprint, server, now)
+                self.changed = True
+
+    def on_answer(self, fingerprint: str, server: str) -> None:
+        """Note that a server answered: it did not crash, nor did this request."""
+        self._suspects.pop(server, None)
+        self.table.note_answer(fingerprint)
+
+    def is_held(self, fingerprint: str, now: float) -> bool:
+        """Return whether a request is refused because it crashes servers."""
+        return self.table.is_held(fingerprint, now)
+
+    def news(self, now: float) -> tuple[LossNews, ...]:
+        """Return the newest losses, for others."""
+        return tuple(
+            LossNews(loss.key, loss.boot, round(loss.age_s, 2))
+            for loss in self.table.news(now)
+        )
+
+    def take_news(self, losses: tuple[LossNews, ...], now: float) -> None:
+        """Count losses that another instance has told of."""
+        news = tuple(CrashNews(loss.key, loss.boot, loss.age_s) for loss in losses)
+        self.table.take_news(news, now)
--- a/currantwharf/gateway/entry_point.py
+++ b/currantwharf/gateway/entry_point.py
@@ -3,12 +3,14 @@
 from collections.abc import Callable
 from enum import StrEnum
 
-from currantwharf.gateway.call_result import CallResult
+from currantwharf.gateway.call_result import CallOutcome, CallReason, CallResult
 from currantwharf.gateway.calls import Call, Calls
+from currantwharf.gateway.crash_watch import CrashWatch
 from currantwharf.gateway.gateway_request import GatewayRequest
 from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.route import Route
 from currantwharf.gateway.weighted_turn import WeightedTurn
+from currantwharf.policy.coverage import Coverage
 
 
 class Refusal(StrEnum):
@@ -17,31 +19,48 @@
     NO_CONFIG = "no_config"
     NO_ROUTE = "no_route"
     ROUTE_UNSURE = "route_unsure"  # no such route, but what is known may be old
-    STOPPING = "stopping"
+    RELEARNING = "relearning"  # the process was paused and knows nothing new yet
+
+
+HELD_RETRY_S = 60.0  # seconds; a request that crashes servers had better not come back
+REFUSED_AS_HELD = CallResult(
+    CallOutcome.NOT_RUN,
+    CallReason.HELD,
+    (),
+    Coverage(0, 0),
+    retry_after_s=HELD_RETRY_S,
+)
 
 
 class EntryPoint:
     """Find the route of each request and run it.
 
     `is_current` tells whether the configuration is known to be the newest, so that a
-    route that is not in it does not exist.
+    route that is not in it does not exist; `is_relearning` that the process was paused
+    and has heard of nothing since.
     """
 
     def __init__(
         self,
         registry: Registry,
         calls: Calls,
+        crashes: CrashWatch,
         is_current: Callable[[], bool],
+        is_relearning: Callable[[], bool],
     ) -> None:
         self.registry = registry
         self._calls = calls
+        self._crashes = crashes
         self._is_current = is_current
+        self._is_relearning = is_relearning
         self._turns: dict[str, tuple[Route, WeightedTurn]] = {}
 
     def find(self, host: bytes, path: bytes) -> Route | Refusal:
         """Return the route of a request, or why it is not taken."""
         if not self.registry.is_known:
             return Refusal.NO_CONFIG
+        if self._is_relearning():
+            return Refusal.RELEARNING
         route = self.registry.routes.find(host, path)
         if route is not None:
             return route
@@ -52,14 +71,18 @@
         request: GatewayRequest,
         route: Route,
         on_result: Callable[[CallResult], None],
-    ) -> Call:
-        """Run a request."""
+    ) -> Call | None:
+        """Run a request, unless it is known to crash servers."""
+        if self._crashes.is_held(request.fingerprint, request.arrived_at):
+            on_result(REFUSED_AS_HELD)
+            return None
         services = route.shards or (self._service_of(route),)
         return self._calls.start(request, route, services, on_result)
 
-    def leave(self, call: Call) -> None:
+    def leave(self, call: Call | None) -> None:
         """Give a call up whose caller has left."""
-        self._calls.leave(call)
+        if call is not None:
+            self._calls.leave(call)
 
     def _service_of(self, route: Route) -> str:
         if len(route.services) == 1:
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -13,6 +13,7 @@
 
 from currantwharf.gateway.backend_wire import BackendWire
 from currantwharf.gateway.call_log import CallLog
+from currantwharf.gateway.call_metrics import CallMetrics
 from currantwharf.gateway.call_result import CallResult
 from currantwharf.gateway.calls import Calls
 from currantwharf.gateway.changes import RevisedChange, ServerRemoved
@@ -31,11 +32,12 @@
 from currantwharf.peers.peer_task import PeerTask
 from currantwharf.runtime.clock import Clock
 from currantwharf.runtime.part_log import part_log
+from currantwharf.runtime.pause_watch import PauseWatch
 
 SWEEP_S = 0.25  # seconds between two looks at what is overdue
 BALANCER_S = 2.6  # seconds until a balancer that checks each second has missed two
 MARGIN_S = 0.35  # seconds kept from the time in which the process has to end
-LAST_CALLER_S = 0.4  # seconds without a request after which a stop may end
+RELEARN_S = 1.5  # seconds after a pause in which an answer of a peer is waited for
 
 log = part_log("gateway")
 
@@ -74,6 +76,8 @@
         self.pools = ServerPools(reactor, clock, self.chooser, self._connections_of)
         self.calls = Calls(reactor, clock, self.chooser, self.pools, wire, self._note)
         self._call_log = CallLog()
+        self.metrics = CallMetrics()
+        self._pauses = PauseWatch(clock.now(), clock.boot())
         self.table = PeerTable(place.instance, place.data_centre, rng)
         self.reader = RegistryTask(
             reactor,
@@ -92,15 +96,22 @@
             self.table,
             self.registry,
             lambda: (self.is_ready, self.reader.can_read),
-            lambda: (),
+            lambda: self.chooser.crashes.news(clock.now()),
             self._on_news,
-            lambda losses: None,
+            lambda losses: self.chooser.crashes.take_news(losses, clock.now()),
             rng,
         )
-        self.entry_point = EntryPoint(self.registry, self.calls, self._is_current)
+        self.entry_point = EntryPoint(
+            self.registry,
+            self.calls,
+            self.chooser.crashes,
+            self._is_current,
+            self._is_relearning,
+        )
         self._sweep = LoopingCall(self._on_sweep)
         self._sweep.clock = reactor
         self._share = 0.0
+        self._paused_at = -1e9
         self._stop_at: float | None = None
         self._on_stopped: Callable[[], None] | None = None
         self._close_port: Callable[[], object] = lambda: None
@@ -117,6 +128,12 @@
         """Whether the balancer may send callers here."""
         return self.life is Life.SERVING
 
+    def set_limits(self, limits: GatewayLimits, seeds: tuple[str, ...]) -> None:
+        """Take the settings of a reload."""
+        self._limits = limits
+        self.chooser.set_limits(limits)
+        self.peers.set_seeds(seeds)
+
     def is_closing(self) -> bool:
         """Return whether each answer ends its caller's connection."""
         return self.life is Life.STOPPING
@@ -140,6 +157,10 @@
 
     def _on_sweep(self) -> None:
         now = self._clock.now()
+        self._look_for_pause(now)
+        if self.chooser.crashes.changed:
+            self.chooser.crashes.changed = False
+            self.peers.tell_everyone()
         for server in self.registry.expire(now):
             self._forget(server)
         self._set_share(1 / self.table.size(now))
@@ -181,6 +202,25 @@
         now = self._clock.now()
         return self.table.reader(now, self.reader.can_read) == self.table.name
 
+    def _look_for_pause(self, now: float) -> None:
+        paused_s = self._pauses.look(now, self._clock.boot())
+        if paused_s:
+            log.warning("paused", extra={"seconds": round(paused_s, 2)})
+            self.metrics.count("pauses")
+            self._paused_at = now
+            self.peers.ask()
+
+    def _is_relearning(self) -> bool:
+        """Return whether the process was paused and has heard of nothing since.
+
+        One that hears nobody goes on with what it knows after a while.
+        """
+        now = self._clock.now()
+        if now - self._paused_at > RELEARN_S:
+            return False
+        heard_at = max(self.peers.heard_at, self.reader.heard_at)
+        return heard_at <= self._paused_at
+
     def _is_current(self) -> bool:
         """Return whether what is known of the configuration is the newest."""
         return self.reader.is_store_up or self.table.is_hearing(self._clock.now())
@@ -192,9 +232,10 @@
     def _on_news(self, news: list[RevisedChange]) -> None:
         for change in news:
             found = change.change
-            if isinstance(found, ServerRemoved):
-                if not self.chooser.directory.is_awaited(found.server):
-                    self._forget(found.server)
+            if not isinstance(found, ServerRemoved):
+                continue
+            if not self.chooser.directory.is_awaited(found.server):
+                self._forget(found.server)
         if self.life is Life.STARTING and self.registry.is_known:
             self.life = Life.SERVING
             version = self.registry.config.version if self.registry.config else 0
@@ -205,6 +246,7 @@
 
     def _note(self, call: RunningCall, result: CallResult, now: float) -> None:
         config = self.registry.config
+        self.metrics.on_result(call, result, now)
         self._call_log.on_result(call, result, config.version if config else 0, now)
 
     def _forget(self, server: str) -> None:
--- a/currantwharf/gateway/part_call.py
+++ b/currantwharf/gateway/part_call.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from currantwharf.gateway.backend_answer import BackendAnswer
+from currantwharf.gateway.repeat_refusal import RepeatRefusal
 from currantwharf.gateway.server_entry import ServerEntry
 
 
@@ -32,11 +33,13 @@
     arrived: bool = False
     hedge_at: float | None = None
     retry_at: float | None = None
-    why_not_again: str = ""
+    why_not_again: RepeatRefusal | None = None
     answer: BackendAnswer | None = None
     failure: BackendAnswer | None = None
 
     @property
     def is_open(self) -> bool:
         """Whether an answer may still come."""
-        return self.answer is None and (bool(self.attempts) or self.retry_at is not None)
+        return self.answer is None and (
+            bool(self.attempts) or self.retry_at is not None
+        )
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -11,6 +11,7 @@
 from currantwharf.gateway.call_result import CallOutcome, CallReason, CallResult
 from currantwharf.gateway.gateway_request import GatewayRequest
 from currantwharf.gateway.part_call import PartAttempt, PartCall
+from currantwharf.gateway.repeat_refusal import RepeatRefusal
 from currantwharf.gateway.route import Route
 from currantwharf.gateway.server_choice import ServerChooser
 from currantwharf.gateway.server_entry import ServerEntry
@@ -99,9 +100,7 @@
         """Answer with what is there: the instance is about to end."""
         return [] if self.is_finished else self._finish([])
 
-    def take(
-        self, attempt: int, result: AttemptResult, now: float
-    ) -> list[CallAction]:
+    def take(self, attempt: int, result: AttemptResult, now: float) -> list[CallAction]:
         """Take the result of an attempt."""
         part = self._part_of.pop(attempt, None)
         if part is None:
@@ -159,12 +158,11 @@
             return
         entry = self._chooser.choose(part.service, self.route, part.tried, now)
         if entry is None:
-            part.why_not_again = "no server"
+            part.why_not_again = RepeatRefusal.NO_SERVER
             part.tried.clear()
             part.retry_at = now + RETRY_S
             return
-        if part.arrived and not self._chooser.may_repeat(part.service, now):
-            part.why_not_again = "budget spent"
+        if part.arrived and not self._may_repeat(part, now):
             part.retry_at = now + RETRY_S
             return
         self._send_to(part, entry, now, actions)
@@ -197,20 +195,25 @@
         part.hedge_at = None
         entry = self._chooser.choose(part.service, self.route, part.tried, now)
         if entry is None:
-            part.why_not_again = "no other server"
+            part.why_not_again = RepeatRefusal.NO_OTHER_SERVER
             return
         arrival = now + self._chooser.expected_s(entry, now)
         in_time = arrival + LEAST_GAIN_S < self.request.target_at
         if not in_time and self._merges and self._coverage_is_enough():
-            part.why_not_again = "too late for the target"
+            part.why_not_again = RepeatRefusal.TOO_LATE
             return
-        if not self._chooser.may_repeat(part.service, now):
-            part.why_not_again = "budget spent"
+        if not self._may_repeat(part, now):
             part.hedge_at = now + RETRY_S
             return
         part.arrived = True
         self._send_to(part, entry, now, actions)
 
+    def _may_repeat(self, part: PartCall, now: float) -> bool:
+        part.why_not_again = self._chooser.why_not_repeat(
+            part.service, self.request.fingerprint, now
+        )
+        return part.why_not_again is None
+
     def _coverage(self) -> Coverage:
         return Coverage(self._answered, len(self.parts))
 
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -6,8 +6,10 @@
 
 from currantwharf.gateway.attempt_result import AttemptResult
 from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
+from currantwharf.gateway.crash_watch import CrashWatch
 from currantwharf.gateway.gateway_limits import GatewayLimits
 from currantwharf.gateway.ineligible import Ineligible
+from currantwharf.gateway.repeat_refusal import RepeatRefusal
 from currantwharf.gateway.route import Route
 from currantwharf.gateway.server_directory import ServerDirectory
 from currantwharf.gateway.server_entry import ServerEntry
@@ -42,6 +44,7 @@
     ) -> None:
         self.directory = directory
         self.out: set[str] = set()
+        self.crashes = CrashWatch()
         self._limits = limits
         self._region = region
         self._regions = regions
@@ -53,6 +56,11 @@
         self._round_trips: dict[str, float] = {}
         self._misdirected: set[str] = set()
 
+    def set_limits(self, limits: GatewayLimits) -> None:
+        """Set the fleet's budgets."""
+        self._limits = limits
+        self._budgets.clear()
+
     def set_share(self, share: float) -> None:
         """Set the part of the fleet's budgets that this instance may spend."""
         self._share = share
@@ -104,9 +112,13 @@
         """Count a request for a service, on which its budget of repeats rests."""
         self._budget(service).add_sends(1, now)
 
-    def may_repeat(self, service: str, now: float) -> bool:
-        """Take one repeat from the budget of a service, if it is not spent."""
-        return self._budget(service).take(now)
+    def why_not_repeat(
+        self, service: str, fingerprint: str, now: float
+    ) -> RepeatRefusal | None:
+        """Take one repeat from the budget of a service, or return why it may not be."""
+        if self.crashes.is_held(fingerprint, now):
+            return RepeatRefusal.CRASHES_SERVERS
+        return None if self._budget(service).take(now) else RepeatRefusal.BUDGET_SPENT
 
     def on_send(self, entry: ServerEntry, attempt: int, now: float) -> None:
         """Note a request that goes to a server."""
@@ -116,6 +128,10 @@
         """Note that a request was withdrawn from a server."""
         self.evidence(entry).on_end(attempt)
 
+    def on_unreachable(self, server: str, now: float) -> None:
+        """Note that a server accepted no connection."""
+        self.crashes.on_unreachable(server, now)
+
     def on_connected(self, data_centre: str, took_s: float) -> None:
         """Note how long a connection to a data centre took to come about."""
         known = self._round_trips.get(data_centre, took_s)
--- a/currantwharf/gateway/server_directory.py
+++ b/currantwharf/gateway/server_directory.py
@@ -67,9 +67,7 @@
             removal = self._removed[server]
             assert removal.entry is not None
             self._services.get(removal.entry.service, {}).pop(server, None)
-            self._removed[server] = _Removal(
-                removal.revision, removal.at, None, False
-            )
+            self._removed[server] = _Removal(removal.revision, removal.at, None, False)
             self.changes += 1
         return gone
 
--- a/currantwharf/gateway/server_evidence.py
+++ b/currantwharf/gateway/server_evidence.py
@@ -95,9 +95,7 @@
         A server that has answered a later request meanwhile is not silent.
         """
         for sent_at in self.under_way.values():
-            return (
-                now - sent_at > self.slow_after_s() and self.answered_at <= sent_at
-            )
+            return now - sent_at > self.slow_after_s() and self.answered_at <= sent_at
         return False
 
     def _learn(self, latency_s: float, now: float) -> None:
--- a/currantwharf/gateway/server_pools.py
+++ b/currantwharf/gateway/server_pools.py
@@ -43,6 +43,7 @@
                 entry.address,
                 most,
                 lambda took_s: self._chooser.on_connected(entry.data_centre, took_s),
+                lambda: self._chooser.on_unreachable(entry.server, self._clock.now()),
             )
             self._pools[entry.server] = pool
         return pool
--- a/currantwharf/http1/backend_connection.py
+++ b/currantwharf/http1/backend_connection.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 from collections.abc import Callable
+from typing import Any
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
@@ -44,6 +45,8 @@
     it has ended.
     """
 
+    transport: Any
+
     def __init__(
         self,
         on_free: Callable[["BackendConnection"], None],
@@ -65,7 +68,6 @@
     def send(self, exchange: Exchange, now: float) -> None:
         """Write a request."""
         self.exchange = exchange
-        assert self.transport is not None
         self.transport.write(exchange.encode(now))
 
     def abort(self, failure: ConnectionFailure) -> None:
--- a/currantwharf/http1/caller_connection.py
+++ b/currantwharf/http1/caller_connection.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
@@ -25,6 +26,8 @@
     idle or slow beyond the limits.
     """
 
+    transport: Any
+
     def __init__(
         self,
         handle: Callable[[HttpRequest, Responder], None],
@@ -76,7 +79,6 @@
             self._head_since = None
         if self._reader.expects_continue and not self._reader.is_between:
             self._reader.expects_continue = False
-            assert self.transport is not None
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if len(self._queue) > MOST_PIPELINED:
             self.close()
@@ -138,7 +140,6 @@
         self._responder = None
         self._seen_at = self._clock()
         stays = keep_alive and not self._is_closing()
-        assert self.transport is not None
         self.transport.write(encode_answer(status, headers, body, stays, with_body))
         if not stays:
             self.close()
@@ -146,7 +147,6 @@
             self._next()
 
     def _refuse(self, bad: BadRequest) -> None:
-        assert self.transport is not None
         body = bad.why.encode() + b"\n"
         self.transport.write(encode_answer(bad.status, (), body, keep_alive=False))
         self.close()
--- a/currantwharf/http1/connection_pool.py
+++ b/currantwharf/http1/connection_pool.py
@@ -22,6 +22,8 @@
 
     An exchange that finds none free waits in order of arrival. The connection that
     was used last is used first, so the others reach their idle limit and end.
+    `on_connected` hears how many seconds each connection took to come about,
+    `on_unreachable` that one did not.
     """
 
     def __init__(
@@ -31,9 +33,11 @@
         address: tuple[str, int],
         most: int,
         on_connected: Callable[[float], None] = lambda took_s: None,
+        on_unreachable: Callable[[], None] = lambda: None,
     ) -> None:
         self.most = most
         self._tell_connected = on_connected
+        self._tell_unreachable = on_unreachable
         self._reactor = reactor
         self._clock = clock
         self._endpoint = TCP4ClientEndpoint(
@@ -107,7 +111,7 @@
             return
         self._connecting += 1
         began_at = self._clock()
-        factory = Factory.forProtocol(
+        factory: Any = Factory.forProtocol(
             lambda: BackendConnection(self._on_free, self._on_closed)
         )
         connected = self._endpoint.connect(factory)
@@ -123,6 +127,7 @@
 
     def _on_failed(self, failure: Failure) -> None:
         self._connecting -= 1
+        self._tell_unreachable()
         refused = failure.check(RefusedError) is not None
         kind = ConnectionFailure.REFUSED if refused else ConnectionFailure.NOT_CONNECTED
         if not self._open and not self._connecting:
--- a/currantwharf/node/__init__.py
+++ b/currantwharf/node/__init__.py
@@ -1,9 +1,9 @@
 """The running process: tasks that own their state and talk by messages."""
 
-from currantwharf.runtime.clock import SystemClock
 from currantwharf.node.instance import Instance
-from currantwharf.runtime.part_log import part_log, set_up_logs
 from currantwharf.node.serve import listen, serve
+from currantwharf.runtime.clock import SystemClock
+from currantwharf.runtime.part_log import part_log, set_up_logs
 
 __all__ = [
     "Instance",
--- a/currantwharf/node/entry_task.py
+++ b/currantwharf/node/entry_task.py
@@ -10,8 +10,6 @@
 
 from currantwharf.config import VersionedConfig
 from currantwharf.metrics import Recorder
-from currantwharf.runtime.clock import Clock
-from currantwharf.runtime.part_log import part_log
 from currantwharf.node.post import Post
 from currantwharf.once import RunningOrder
 from currantwharf.query import (
@@ -27,6 +25,8 @@
     SendToHolder,
     SendToOwner,
 )
+from currantwharf.runtime.clock import Clock
+from currantwharf.runtime.part_log import part_log
 from currantwharf.wire import ClaimReply, Outcome, Reason, ShardAnswer, ShardRequest
 
 TIMER_SLACK_S = 0.0005  # seconds, so that a timer never fires just before its time
--- a/currantwharf/node/fleet_task.py
+++ b/currantwharf/node/fleet_task.py
@@ -17,10 +17,10 @@
     Phase,
     new_life,
 )
-from currantwharf.runtime.clock import Clock
 from currantwharf.node.interfaces import PeerCalls, PlatformCalls
-from currantwharf.runtime.part_log import part_log
 from currantwharf.node.platform_reader import PlatformReader
+from currantwharf.runtime.clock import Clock
+from currantwharf.runtime.part_log import part_log
 from currantwharf.wire import Ack, Heartbeat, pack
 
 TICK_S = 0.1  # seconds between two looks at the clock
--- a/currantwharf/node/instance.py
+++ b/currantwharf/node/instance.py
@@ -11,7 +11,6 @@
 from currantwharf.config import PublishedConfig, VersionedConfig
 from currantwharf.fleet import InstanceList, Phase
 from currantwharf.metrics import Recorder, make_sink
-from currantwharf.runtime.clock import Clock
 from currantwharf.node.entry_task import EntryTask
 from currantwharf.node.fleet_task import FleetTask
 from currantwharf.node.interfaces import Interfaces
@@ -20,6 +19,7 @@
 from currantwharf.node.status import describe
 from currantwharf.once import ClaimTable, HolderHistory
 from currantwharf.query import CallerRequest, DeliveryFailed, QueryResult, Router
+from currantwharf.runtime.clock import Clock
 from currantwharf.settings import Settings
 from currantwharf.wire import (
     Ack,
--- a/currantwharf/node/owner_task.py
+++ b/currantwharf/node/owner_task.py
@@ -9,10 +9,8 @@
 from currantwharf.config import BackendServer, VersionedConfig
 from currantwharf.fleet import Owners
 from currantwharf.metrics import Recorder
-from currantwharf.runtime.clock import Clock
 from currantwharf.node.interfaces import BackendCalls
 from currantwharf.node.owned_server import OwnedServer
-from currantwharf.runtime.part_log import part_log
 from currantwharf.node.post import Post
 from currantwharf.owner import (
     SILENT_TAKEOVER_WAIT_S,
@@ -32,6 +30,8 @@
     refusal,
 )
 from currantwharf.query import Router
+from currantwharf.runtime.clock import Clock
+from currantwharf.runtime.part_log import part_log
 from currantwharf.wire import (
     Cancel,
     Outcome,
--- a/currantwharf/node/post.py
+++ b/currantwharf/node/post.py
@@ -7,11 +7,11 @@
 from twisted.internet.error import ConnectionRefusedError
 
 from currantwharf.adapters.http_errors import was_sent
-from currantwharf.runtime.clock import Clock
 from currantwharf.node.interfaces import PeerCalls
-from currantwharf.runtime.part_log import part_log
 from currantwharf.node.reply_slot import ReplySlot
 from currantwharf.query import DeliveryFailed
+from currantwharf.runtime.clock import Clock
+from currantwharf.runtime.part_log import part_log
 from currantwharf.wire import (
     Ack,
     ClaimReply,
--- a/currantwharf/node/serve.py
+++ b/currantwharf/node/serve.py
@@ -16,10 +16,10 @@
 from currantwharf.adapters.peer_client import PeerClient
 from currantwharf.adapters.peer_server import peer_resource
 from currantwharf.adapters.platform_client import PlatformClient
-from currantwharf.runtime.clock import SystemClock
 from currantwharf.node.graceful_stop import drain
 from currantwharf.node.instance import Instance
 from currantwharf.node.interfaces import Interfaces
+from currantwharf.runtime.clock import SystemClock
 from currantwharf.runtime.part_log import part_log
 from currantwharf.settings import Settings
 
--- a/currantwharf/once/running_order.py
+++ b/currantwharf/once/running_order.py
@@ -8,9 +8,9 @@
 
 from currantwharf.fleet import highest
 from currantwharf.once.holders import MAJORITY
+from currantwharf.policy.coverage import Coverage
 from currantwharf.query.actions import Finish, QueryAction, SendToHolder, SendToOwner
 from currantwharf.query.caller_request import CallerRequest
-from currantwharf.policy.coverage import Coverage
 from currantwharf.query.delivery_failed import DeliveryFailed
 from currantwharf.query.pinned_snapshot import pin_snapshot
 from currantwharf.query.query_result import QueryResult
--- a/currantwharf/peers/peer_table.py
+++ b/currantwharf/peers/peer_table.py
@@ -3,8 +3,8 @@
 import random
 from dataclasses import dataclass, replace
 
-from currantwharf.policy.rendezvous import highest
 from currantwharf.peers.hello import Hello, MemberNews
+from currantwharf.policy.rendezvous import highest
 
 LIVE_S = 8.0  # seconds without a word after which an instance is no longer counted
 READER_S = 3.0  # seconds without a word after which another one reads the store
@@ -69,7 +69,9 @@
 
     def targets(self, now: float, near: int, far: int) -> list[Peer]:
         """Return instances to tell: some of this data centre and some of others."""
-        known = [peer for peer in self._peers.values() if now - peer.heard_at < FORGET_S]
+        known = [
+            peer for peer in self._peers.values() if now - peer.heard_at < FORGET_S
+        ]
         own = [peer for peer in known if peer.data_centre == self._data_centre]
         others = [peer for peer in known if peer.data_centre != self._data_centre]
         return [
--- a/currantwharf/peers/peer_task.py
+++ b/currantwharf/peers/peer_task.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -46,6 +47,8 @@
     `on_news` hears the changes that a peer has told of, `on_losses` the losses.
     """
 
+    transport: Any
+
     def __init__(
         self,
         reactor: Any,
@@ -71,6 +74,7 @@
         self._on_news = on_news
         self._on_losses = on_losses
         self._rng = rng
+        self.heard_at = -1e9
         self._is_fetching = False
         self._round = 0
         self._began_at = clock.now()
@@ -82,11 +86,21 @@
         self._reactor.listenUDP(self._place.gossip_port, self, self._place.host)
         self._rounds.start(GOSSIP_S, now=True)
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Set where other instances may be found."""
+        self._place = replace(self._place, seeds=seeds)
+
     def tell(self, near: int = RUMOUR_NEAR, far: int = RUMOUR_FAR) -> None:
         """Tell some others at once."""
         for peer in self.table.targets(self._clock.now(), near, far):
             self._send(peer.host, peer.revision)
 
+    def ask(self) -> None:
+        """Ask some others how things stand, and the seeds if none is known."""
+        targets = self.table.targets(self._clock.now(), RUMOUR_NEAR, RUMOUR_FAR)
+        for host in [peer.host for peer in targets] or self._place.seeds:
+            self._send(host, 0, wants_reply=True)
+
     def tell_everyone(self) -> None:
         """Tell all others at once, of what must not wait for rumours."""
         self.tell(10_000, 10_000)
@@ -111,6 +125,7 @@
         if hello.name == self.table.name:
             return
         now = self._clock.now()
+        self.heard_at = now
         is_new = self.table.take(hello, now)
         if hello.losses:
             self._on_losses(hello.losses)
--- a/currantwharf/platform/platform_settings.py
+++ b/currantwharf/platform/platform_settings.py
@@ -65,7 +65,12 @@
         file = msgspec.convert(found, _File)
         return Ok(_translate(file))
     except (OSError, yaml.YAMLError, msgspec.ValidationError, BadAddressError) as exc:
-        return Err(InvalidDocument(str(path), (Problem("file", str(exc), "the settings that the platform writes"),)))
+        return Err(
+            InvalidDocument(
+                str(path),
+                (Problem("file", str(exc), "the settings that the platform writes"),),
+            )
+        )
 
 
 class BadAddressError(Exception):
--- a/currantwharf/platform/serve.py
+++ b/currantwharf/platform/serve.py
@@ -4,8 +4,10 @@
 import random
 import signal
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
+from result import Err
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import Factory
 
@@ -13,18 +15,24 @@
 from currantwharf.http1 import CallerConnection, HttpRequest, RequestLimits, Responder
 from currantwharf.platform.backend_protocol import PlatformBackendWire
 from currantwharf.platform.caller_protocol import CallerProtocol
-from currantwharf.platform.platform_settings import Address, PlatformSettings
+from currantwharf.platform.platform_settings import (
+    Address,
+    PlatformSettings,
+    load_platform_settings,
+)
 from currantwharf.platform.ready_site import answer_ready
 from currantwharf.platform.store_client import StoreClient
 from currantwharf.runtime.clock import SystemClock
 from currantwharf.runtime.part_log import part_log
 
+METRICS_PORT = 9464  # the port that exporters of metrics commonly use
+METRICS_TYPE = (b"content-type", b"text/plain; version=0.0.4")
 BACKLOG = 512  # connections that wait to be accepted; a burst brings hundreds
 
 log = part_log("serve")
 
 
-def serve(settings: PlatformSettings, reactor: Any) -> int:
+def serve(settings: PlatformSettings, path: Path, reactor: Any) -> int:
     """Run an instance in this process and return its exit code."""
     clock = SystemClock()
     gateway = Gateway(
@@ -70,21 +78,40 @@
             lambda conn: None,
         )
 
+    def metrics_connection() -> CallerConnection:
+        def handle(request: HttpRequest, responder: Responder) -> None:
+            responder.finish(200, (METRICS_TYPE,), gateway.metrics.text())
+
+        return CallerConnection(
+            handle, RequestLimits(), clock.now, lambda: False, lambda conn: None
+        )
+
     try:
         listen(settings.peers, peer_connection)
+        listen((settings.place.host, METRICS_PORT), metrics_connection)
         listen(settings.ready, ready_connection)
         port = listen(settings.callers, caller_connection)
     except CannotListenError as exc:
         log.error("a port can't be opened", extra={"why": str(exc)})
         return 3
 
+    def reload() -> None:
+        found = load_platform_settings(path)
+        if isinstance(found, Err):
+            log.error("settings not reloaded", extra={"why": str(found.unwrap_err())})
+            return
+        gateway.set_limits(found.unwrap().limits, found.unwrap().place.seeds)
+        log.info("settings reloaded")
+
     def begin_stop(*_: object) -> None:
         reactor.callFromThread(gateway.stop, port.stopListening, reactor.stop)
 
     # The reactor's own handlers would cut requests off.
     reactor.callWhenRunning(signal.signal, signal.SIGTERM, begin_stop)
     reactor.callWhenRunning(signal.signal, signal.SIGINT, begin_stop)
-    reactor.callWhenRunning(signal.signal, signal.SIGHUP, signal.SIG_IGN)
+    reactor.callWhenRunning(
+        signal.signal, signal.SIGHUP, lambda *_: reactor.callFromThread(reload)
+    )
     gateway.start()
     log.info("started", extra={"instance": settings.place.instance})
     reactor.run(installSignalHandlers=False)
--- a/currantwharf/platform/store_client.py
+++ b/currantwharf/platform/store_client.py
@@ -65,16 +65,18 @@
         revision: int | None = None
         last_key = ""
         while True:
-            query = {"prefix": "", "allow-stale": int(may_be_stale)}
+            query: dict[str, Any] = {"prefix": "", "allow-stale": int(may_be_stale)}
             if last_key:
-                query["after"] = last_key  # type: ignore[assignment]
+                query["after"] = last_key
             page = await self._call(RANGE_PATH, query, CALL_TIMEOUT_S, RangeDocument)
             if isinstance(page, StoreFailure):
                 return page
             changes.extend(_decode_items(page.items))
             # Pages are not a snapshot: what changes meanwhile is in the watch.
             first = revision is None
-            revision = page.store_revision if first else min(revision, page.store_revision)
+            revision = (
+                page.store_revision if first else min(revision, page.store_revision)
+            )
             if not page.truncated or not page.items:
                 return StoreSnapshot(tuple(changes), revision)
             last_key = page.items[-1].key
--- a/currantwharf/policy/crash_table.py
+++ b/currantwharf/policy/crash_table.py
@@ -37,6 +37,8 @@
 class CrashTable:
     """Count the servers that were lost while they ran a request.
 
+    A request is held after `losses_to_hold` of them.
+
     >>> table = CrashTable()
     >>> table.note_loss("f@camphor/0", "s1/boot-1", 0.0)
     >>> table.is_held("f@camphor/0", 1.0)
@@ -46,7 +48,8 @@
     True
     """
 
-    def __init__(self) -> None:
+    def __init__(self, losses_to_hold: int = LOSSES_TO_HOLD) -> None:
+        self._losses_to_hold = losses_to_hold
         self._losses: dict[str, dict[str, Loss]] = {}
         self._released: frozenset[str] = frozenset()
 
@@ -60,7 +63,7 @@
 
     def note_answer(self, key: str) -> None:
         """Forget a request that was answered, unless it is held already."""
-        if len(self._losses.get(key, ())) < LOSSES_TO_HOLD:
+        if len(self._losses.get(key, ())) < self._losses_to_hold:
             self._losses.pop(key, None)
 
     def take_news(self, news: tuple[CrashNews, ...], now: float) -> None:
@@ -78,12 +81,12 @@
     def is_held(self, key: str, now: float) -> bool:
         """Return whether a request is held because servers were lost to it."""
         losses = self._losses.get(key)
-        if losses is None or len(losses) < LOSSES_TO_HOLD:
+        if losses is None or len(losses) < self._losses_to_hold:
             return False
         recent = [loss for loss in losses.values() if now - loss.at < HOLD_S]
         if not recent:
             del self._losses[key]
-        return len(recent) >= LOSSES_TO_HOLD
+        return len(recent) >= self._losses_to_hold
 
     def held(self, now: float) -> list[str]:
         """Return the keys of all held requests, for operators."""
--- a/currantwharf/query/__init__.py
+++ b/currantwharf/query/__init__.py
@@ -1,11 +1,11 @@
 """The decisions that an entry instance takes for one request."""
 
+from currantwharf.policy.coverage import Coverage
+from currantwharf.policy.extra_budget import ExtraBudget
 from currantwharf.query.actions import Finish, QueryAction, SendToHolder, SendToOwner
 from currantwharf.query.caller_request import CallerRequest
 from currantwharf.query.class_controller import ClassController, QueryPolicy
-from currantwharf.policy.coverage import Coverage
 from currantwharf.query.delivery_failed import DeliveryFailed
-from currantwharf.policy.extra_budget import ExtraBudget
 from currantwharf.query.merge import merge_hits
 from currantwharf.query.pinned_snapshot import PinnedSnapshot, pin_snapshot
 from currantwharf.query.query_result import QueryResult
--- a/currantwharf/query/running_query.py
+++ b/currantwharf/query/running_query.py
@@ -9,10 +9,10 @@
 from functools import singledispatchmethod
 
 from currantwharf.owner import unanswered
+from currantwharf.policy.coverage import Coverage
 from currantwharf.query.actions import Finish, QueryAction
 from currantwharf.query.caller_request import CallerRequest
 from currantwharf.query.class_controller import ClassController
-from currantwharf.policy.coverage import Coverage
 from currantwharf.query.delivery_failed import DeliveryFailed
 from currantwharf.query.merge import merge_hits
 from currantwharf.query.pinned_snapshot import pin_snapshot
--- a/currantwharf/runtime/clock.py
+++ b/currantwharf/runtime/clock.py
@@ -1,6 +1,6 @@
 """The only place that reads the clocks; everything else is told the time."""
 
-from time import monotonic, time
+from time import CLOCK_BOOTTIME, clock_gettime, monotonic, time
 from typing import Protocol
 
 
@@ -13,6 +13,9 @@
     def wall(self) -> float:
         """Return the Unix time, for comparison with a caller's."""
 
+    def boot(self) -> float:
+        """Return the clock that also runs while the machine is suspended."""
+
 
 class SystemClock:
     """Read the clocks of the machine."""
@@ -24,3 +27,7 @@
     def wall(self) -> float:
         """Return the Unix time, for comparison with a caller's."""
         return time()
+
+    def boot(self) -> float:
+        """Return the clock that also runs while the machine is suspended."""
+        return clock_gettime(CLOCK_BOOTTIME)
--- a/currantwharf/runtime/part_log.py
+++ b/currantwharf/runtime/part_log.py
@@ -33,9 +33,12 @@
     return PartLog(logging.getLogger(ROOT), {"part": part})
 
 
-def set_up_logs(level: str, instance: str) -> None:
-    """Send logs of at least `level` to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+def set_up_logs(level: str, instance: str, stream: Any = None) -> None:
+    """Send logs of at least `level` to `stream` as JSON lines.
+
+    The default is standard error.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
     formatter = JsonFormatter(
         "%(asctime)s %(levelname)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level"},
