--- /dev/null
+++ b/currantwharf/http1/tests/test_caller_connection.py
@@ -0,0 +1,111 @@
+import unittest
+
+from twisted.internet.testing import StringTransport
+
+from currantwharf.http1 import CallerConnection, RequestLimits
+
+LIMITS = RequestLimits(header_bytes=500, body_bytes=100, header_s=3.0, idle_s=15.0)
+
+
+class CallerConnectionTests(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.closing = False
+        self.handled = []
+        self.closed = []
+        self.conn = CallerConnection(
+            lambda request, responder: self.handled.append((request, responder)),
+            LIMITS,
+            lambda: self.now,
+            lambda: self.closing,
+            self.closed.append,
+        )
+        self.transport = StringTransport()
+        self.conn.makeConnection(self.transport)
+
+    def test_request_split_into_bytes(self):
+        data = b"POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy"
+        for at in range(len(data)):
+            self.conn.dataReceived(data[at : at + 1])
+        ((request, _),) = self.handled
+        self.assertEqual(
+            (request.method, request.target, request.body), (b"POST", b"/a?b", b"xy")
+        )
+
+    def test_chunked_body(self):
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.conn.dataReceived(head + b"2\r\nxy\r\n0\r\n\r\n")
+        self.assertEqual(self.handled[0][0].body, b"xy")
+
+    def test_pipelined_requests_are_answered_in_order(self):
+        self.conn.dataReceived(b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+        self.assertEqual([r.target for r, _ in self.handled], [b"/1"])
+        self.handled[0][1].finish(200, (), b"one")
+        self.assertEqual([r.target for r, _ in self.handled], [b"/1", b"/2"])
+        self.handled[1][1].finish(200, (), b"two")
+        written = self.transport.value()
+        self.assertLess(written.index(b"one"), written.index(b"two"))
+
+    def test_length_and_chunks_together_are_refused(self):
+        head = b"POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n"
+        self.conn.dataReceived(head + b"\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n\r\n")
+        self.assertEqual(self.handled, [])
+        self.assertTrue(self.transport.value().startswith(b"HTTP/1.1 400 "))
+
+    def test_limits_of_headers_and_body(self):
+        for data, status in (
+            (b"GET / HTTP/1.1\r\nX: " + b"y" * 600 + b"\r\n\r\n", b"431"),
+            (b"POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", b"413"),
+            (b"GET /" + b"y" * 9000 + b" HTTP/1.1\r\n\r\n", b"414"),
+            (b"nonsense\r\n\r\n", b"400"),
+        ):
+            with self.subTest(status=status):
+                self.setUp()
+                self.conn.dataReceived(data)
+                self.assertEqual(self.transport.value()[9:12], status)
+                self.assertTrue(self.transport.disconnecting)
+
+    def test_caller_that_leaves_is_told(self):
+        left = []
+        self.conn.dataReceived(b"GET / HTTP/1.1\r\n\r\n")
+        self.handled[0][1].when_gone(lambda: left.append(True))
+        self.conn.connectionLost()
+        self.assertEqual(left, [True])
+        self.handled[0][1].finish(200, (), b"late")
+        self.assertEqual(self.transport.value(), b"")
+
+    def test_answer_ends_the_connection_while_closing(self):
+        self.conn.dataReceived(b"GET / HTTP/1.1\r\n\r\n")
+        self.closing = True
+        self.handled[0][1].finish(200, (), b"x")
+        self.assertIn(b"connection: close", self.transport.value())
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_slow_headers_are_ended_and_a_slow_answer_is_not(self):
+        self.conn.dataReceived(b"GET / HTTP/1.1\r\nHo")
+        self.now = 3.5
+        self.conn.sweep(self.now)
+        self.assertTrue(self.transport.value().startswith(b"HTTP/1.1 408 "))
+        self.setUp()
+        self.conn.dataReceived(b"GET / HTTP/1.1\r\n\r\n")
+        self.now = 60.0
+        self.conn.sweep(self.now)
+        self.assertFalse(self.transport.disconnecting)
+
+    def test_idle_connection_is_closed_only_beyond_its_limit(self):
+        self.now = 14.0
+        self.conn.sweep(self.now)
+        self.assertFalse(self.transport.disconnecting)
+        self.now = 15.5
+        self.conn.sweep(self.now)
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_body_is_awaited_with_continue(self):
+        head = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+        self.conn.dataReceived(head)
+        self.assertEqual(self.transport.value(), b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def test_answer_to_head_has_no_body(self):
+        self.conn.dataReceived(b"HEAD / HTTP/1.1\r\n\r\n")
+        self.handled[0][1].finish(200, (), b"abc")
+        self.assertTrue(self.transport.value().endswith(b"content-length: 3\r\n\r\n"))
--- a/currantwharf/tests/fake_node.py
+++ b/currantwharf/tests/fake_node.py
@@ -46,3 +46,6 @@
 
     def wall(self) -> float:
         return START_WALL + self._clock.seconds()
+
+    def boot(self) -> float:
+        return self._clock.seconds()
--- a/currantwharf/tests/fake_world.py
+++ b/currantwharf/tests/fake_world.py
@@ -109,9 +109,6 @@
     def wall(self) -> float:
         return START_WALL + self.clock.seconds()
 
-    def boot(self) -> float:
-        return self.now()
-
     def start(self, name: str) -> Instance:
         self._boots += 1
         reactor = self.reactors[name] = NodeReactor(self.clock)
