--- /dev/null
+++ b/currantwharf/gateway/tests/test_registry_task.py
@@ -0,0 +1,110 @@
+import random
+import unittest
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from currantwharf.gateway.changes import StoreEvents, StoreSnapshot
+from currantwharf.gateway.metadata_store import StoreFailure
+from currantwharf.gateway.registry import Registry
+from currantwharf.gateway.registry_task import PACE_S, RegistryTask
+from currantwharf.tests.gateway_builders import (
+    config_change,
+    make_chooser,
+    server_change,
+)
+
+
+class FakeStore:
+    """Keep the calls open for the test to answer."""
+
+    def __init__(self):
+        self.calls = []
+
+    def read_all(self, may_be_stale):
+        return self._call("stale" if may_be_stale else "read")
+
+    def watch(self, after, wait_s):
+        return self._call(f"watch {after}")
+
+    def _call(self, name):
+        self.calls.append((name, Deferred()))
+        return self.calls[-1][1]
+
+    def answer(self, name, result):
+        asked, done = self.calls.pop(0)
+        assert asked == name, (asked, name)
+        done.callback(result)
+
+
+class RegistryTaskTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.clock.now = self.clock.seconds
+        self.store = FakeStore()
+        self.news = []
+        self.is_reader = True
+        chooser = make_chooser([])
+        self.registry = Registry(chooser.directory, chooser)
+        self.task = RegistryTask(
+            self.clock,
+            self.clock,
+            self.store,
+            self.registry,
+            lambda: self.is_reader,
+            self.news.extend,
+            random.Random(1),
+        )
+        self.task.start()
+
+    def read(self):
+        snapshot = StoreSnapshot((config_change(3, 5),), 10)
+        self.store.answer("stale", snapshot)
+
+    def test_first_read_may_be_stale_since_the_watch_brings_the_rest(self):
+        self.read()
+        self.assertEqual(self.registry.config.version, 3)
+        self.assertEqual(self.store.calls[0][0], "watch 10")
+
+    def test_watches_are_paced_after_news(self):
+        self.read()
+        found = StoreEvents((server_change("s1", 11),), 10, 11)
+        self.store.answer("watch 10", found)
+        self.assertEqual(len(self.news), 2)
+        self.assertEqual(self.store.calls, [])
+        self.clock.advance(PACE_S)
+        self.assertEqual(self.store.calls[0][0], "watch 11")
+
+    def test_lost_history_is_read_anew_and_not_stale(self):
+        self.read()
+        self.store.answer("watch 10", StoreFailure.HISTORY_LOST)
+        self.assertEqual(self.store.calls[0][0], "read")
+
+    def test_failures_are_retried_soon_and_leave_what_is_known(self):
+        self.read()
+        for _ in range(5):
+            self.store.answer("watch 10", StoreFailure.UNAVAILABLE)
+            self.assertFalse(self.task.is_store_up)
+            self.assertFalse(self.task.can_read)
+            self.clock.advance(1.0)
+        self.assertEqual(self.registry.config.version, 3)
+        self.store.answer("watch 10", StoreEvents((), 10, 10))
+        self.assertTrue(self.task.is_store_up)
+        self.assertEqual(self.registry.returned_at, self.clock.seconds())
+
+    def test_instance_that_is_no_reader_does_not_call(self):
+        self.is_reader = False
+        self.read()
+        self.clock.advance(5.0)
+        self.assertEqual(self.store.calls, [])
+        self.is_reader = True
+        self.clock.advance(1.0)
+        self.assertEqual(self.store.calls[0][0], "watch 10")
+
+    def test_watch_goes_on_from_what_peers_have_told(self):
+        self.is_reader = False
+        self.read()
+        self.registry.take_events(StoreEvents((server_change("s1", 12),), 10, 12), 0.0)
+        self.is_reader = True
+        self.clock.advance(1.0)
+        self.assertEqual(self.store.calls[0][0], "watch 12")
--- a/currantwharf/http1/tests/test_answer_reader.py
+++ b/currantwharf/http1/tests/test_answer_reader.py
@@ -35,7 +35,9 @@
         self.assertIsNone(self.reader.finish())
 
     def test_truncated_chunks_are_not_finished_by_the_end(self):
-        self.reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab")
+        self.reader.feed(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab"
+        )
         self.assertIsNone(self.reader.finish())
 
     def test_bytes_that_are_no_answer(self):
--- /dev/null
+++ b/currantwharf/peers/tests/test_peer_task.py
@@ -0,0 +1,146 @@
+import random
+import unittest
+
+from twisted.internet.task import Clock
+
+from currantwharf.gateway.changes import StoreEvents, StoreSnapshot
+from currantwharf.gateway.place import Place
+from currantwharf.gateway.registry import Registry
+from currantwharf.http1 import HttpRequest, Responder
+from currantwharf.peers.hello import LossNews
+from currantwharf.peers.peer_table import PeerTable
+from currantwharf.peers.peer_task import PeerTask
+from currantwharf.tests.gateway_builders import make_chooser, server_change
+
+GOSSIP, FETCH = 7000, 7001
+
+
+class FakeNetwork(Clock):
+    """Carry datagrams between tasks on one clock; cut hosts get and send nothing."""
+
+    def __init__(self):
+        super().__init__()
+        self.tasks = {}
+        self.cut = set()
+        self.sent = 0
+        self.now = self.seconds
+
+    def listenUDP(self, port, task, host):  # noqa: N802
+        self.tasks[host] = task
+        task.transport = FakeTransport(self, host)
+
+
+class FakeTransport:
+    def __init__(self, network, host):
+        self.network = network
+        self.host = host
+
+    def write(self, data, address):
+        self.network.sent += 1
+        target = self.network.tasks.get(address[0])
+        if target is None or {self.host, address[0]} & self.network.cut:
+            return
+        sender = (self.host, address[1])
+        self.network.callLater(0.001, target.datagramReceived, data, sender)
+
+
+class PeerTaskTests(unittest.TestCase):
+    def setUp(self):
+        self.network = FakeNetwork()
+        self.losses = {}
+        self.fetches = []
+        self.tasks = {name: self.start(name) for name in ("i0", "i1", "i2", "i3")}
+
+    def start(self, name):
+        chooser = make_chooser([])
+        place = Place(name, name, "a", "r", {"a": "r"}, GOSSIP, FETCH, ("i0", "gone"))
+        task = PeerTask(
+            self.network,
+            self.network,
+            place,
+            "boot",
+            PeerTable(name, "a", random.Random(name)),
+            Registry(chooser.directory, chooser),
+            lambda: (True, True),
+            lambda: self.losses.get(name, ()),
+            lambda news: None,
+            lambda losses: self.losses.update({f"heard by {name}": losses}),
+            random.Random(name),
+        )
+        task._fetch = lambda host, revision: self.fetch(name, host)
+        task.start()
+        return task
+
+    def fetch(self, name, host):
+        """Fetch as over HTTP, from the task of the other host."""
+        self.fetches.append((name, host))
+        registry = self.tasks[name]._registry
+        answers = []
+        responder = Responder(lambda status, headers, body: answers.append(body))
+        target = b"/changes?after=%d" % registry.revision
+        request = HttpRequest(b"GET", target, (), b"", True)
+        self.tasks[host].answer_fetch(request, responder)
+        answer = type("Answer", (), {"status": 200, "body": answers[0]})()
+        self.tasks[name]._on_fetched(answer, host)
+
+    def test_instances_find_each_other_from_one_seed(self):
+        self.network.advance(0)
+        for _ in range(50):
+            self.network.advance(0.1)
+        for task in self.tasks.values():
+            self.assertEqual(task.table.size(self.network.seconds()), 4)
+
+    def test_changes_reach_everyone_within_two_seconds(self):
+        for _ in range(50):
+            self.network.advance(0.1)
+        first = self.tasks["i2"]._registry
+        first.take_snapshot(StoreSnapshot((server_change("s0", 9),), 10), 0.0)
+        first.take_events(StoreEvents((server_change("s1", 11),), 10, 11), 0.0)
+        self.tasks["i2"].tell()
+        for _ in range(20):
+            self.network.advance(0.1)
+        for task in self.tasks.values():
+            self.assertEqual(task._registry.revision, 11)
+            servers = task._registry.directory.servers_of("camphor")
+            self.assertEqual(set(servers), {"s0", "s1"})
+
+    def test_instance_that_was_cut_off_catches_up(self):
+        for _ in range(50):
+            self.network.advance(0.1)
+        self.network.cut = {"i3"}
+        first = self.tasks["i0"]._registry
+        first.take_snapshot(StoreSnapshot((server_change("s0", 9),), 10), 0.0)
+        self.tasks["i0"].tell()
+        for _ in range(50):
+            self.network.advance(0.1)
+        self.assertEqual(self.tasks["i3"]._registry.revision, 0)
+        self.network.cut = set()
+        for _ in range(30):
+            self.network.advance(0.1)
+        self.assertEqual(self.tasks["i3"]._registry.revision, 10)
+
+    def test_datagrams_do_not_grow_with_the_fleet(self):
+        def rate():
+            for _ in range(50):
+                self.network.advance(0.1)
+            before = self.network.sent
+            for _ in range(100):
+                self.network.advance(0.1)
+            return (self.network.sent - before) / len(self.tasks)
+
+        small = rate()
+        for at in range(4, 24):
+            self.tasks[f"i{at}"] = self.start(f"i{at}")
+        self.assertLess(rate(), 1.5 * small)
+
+    def test_losses_reach_others(self):
+        for _ in range(50):
+            self.network.advance(0.1)
+        self.losses["i1"] = (LossNews("f", "s1", 0.1),)
+        self.tasks["i1"].tell_everyone()
+        self.network.advance(0.1)
+        self.assertEqual(self.losses["heard by i3"], self.losses["i1"])
+
+    def test_unreadable_datagram_is_dropped_with_a_line(self):
+        with self.assertLogs("currantwharf", "WARNING"):
+            self.tasks["i0"].datagramReceived(b"nonsense", ("i9", 1))
--- /dev/null
+++ b/currantwharf/platform/tests/test_decode_store.py
@@ -0,0 +1,133 @@
+import base64
+import json
+import unittest
+
+from currantwharf.gateway.changes import (
+    ConfigChanged,
+    DataCentreChanged,
+    ServerChanged,
+    ServerRemoved,
+)
+from currantwharf.gateway.route import WeightedService
+from currantwharf.platform.decode_store import decode_item
+from currantwharf.platform.store_documents import ItemDocument
+
+SERVER = {
+    "service": "camphor",
+    "address": "127.0.0.1:9000",
+    "zone": "taipei-a",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "warmup-left-ms": 1500,
+    "sequence": 4,
+    "born": 1,
+}
+ROUTE = {
+    "name": "r",
+    "host": "A.example",
+    "prefix": "/a/",
+    "route-type": "idempotent",
+    "timeout-ms": 800,
+    "target-latency-ms": 124,
+    "priority": 2,
+    "fanout": ["s1", "s2"],
+    "max-attempts": 2,
+    "top-k": 5,
+    "min-coverage": 0.75,
+    "allowed-regions": ["taipei"],
+}
+
+
+def item(key, value, revision=7):
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return ItemDocument(key, revision, base64.b64encode(data).decode())
+
+
+def decode_server(**changes):
+    return decode_item(item("servers/i-1", {**SERVER, **changes})).change
+
+
+class DecodeServerTests(unittest.TestCase):
+    def test_registration(self):
+        entry = decode_server().entry
+        self.assertEqual(entry.server, "i-1")
+        self.assertEqual(entry.address, ("127.0.0.1", 9000))
+        self.assertEqual((entry.warm_up_s, entry.leaving), (1.5, False))
+        self.assertTrue(decode_server(state="draining").entry.leaving)
+
+    def test_registration_that_cannot_be_used_names_no_server(self):
+        with self.assertLogs("currantwharf", "WARNING"):
+            for changes in (
+                {"state": "asleep"},
+                {"address": "nowhere"},
+                {"address": 5},
+                {"slots": "two"},
+                {"service": None},
+            ):
+                with self.subTest(changes=changes):
+                    found = decode_server(**changes)
+                    self.assertEqual(found, ServerRemoved("i-1"))
+            for value in (b"\xff\x00", b"[]", b"{}"):
+                found = decode_item(item("servers/i-1", value)).change
+                self.assertEqual(found, ServerRemoved("i-1"))
+            spoiled = ItemDocument("servers/i-1", 7, "***")
+            self.assertEqual(decode_item(spoiled).change, ServerRemoved("i-1"))
+
+    def test_removal(self):
+        found = decode_item(ItemDocument("servers/i-1", 9, removed=True))
+        self.assertEqual((found.revision, found.change), (9, ServerRemoved("i-1")))
+
+    def test_new_fields_are_ignored(self):
+        self.assertIsInstance(decode_server(colour="red"), ServerChanged)
+
+
+class DecodeConfigTests(unittest.TestCase):
+    def decode(self, *routes, **changes):
+        document = {
+            "version": 7,
+            "routes": list(routes),
+            "services": [{"name": "s1", "max-conns": 26, "warmup-per-s": 0.0}],
+            "limits": {"max-header-bytes": 99, "idle-timeout-ms": 15000},
+            **changes,
+        }
+        return decode_item(item("op/config", document))
+
+    def test_route_over_shards(self):
+        config = self.decode(ROUTE).change.config
+        (route,) = config.routes
+        self.assertEqual((config.version, route.host), (7, b"a.example"))
+        self.assertEqual(route.shards, ("s1", "s2"))
+        self.assertEqual((route.timeout_s, route.target_s), (0.8, 0.124))
+        self.assertEqual((route.top, route.least_coverage), (5, 0.75))
+        self.assertEqual(route.regions, {"taipei"})
+        self.assertEqual(config.limits.header_bytes, 99)
+        self.assertEqual(config.limits.idle_s, 15.0)
+        self.assertIsNone(config.services["s1"].cold_rate)
+
+    def test_route_with_weights(self):
+        backends = [{"service": "a", "weight": 3}, {"service": "b", "weight": 1}]
+        route = {**ROUTE, "fanout": None, "backends": backends}
+        route["route-type"] = "non_idempotent"
+        (found,) = self.decode(route).change.config.routes
+        expected = (WeightedService("a", 3), WeightedService("b", 1))
+        self.assertEqual((found.services, found.idempotent), (expected, False))
+
+    def test_unreadable_configuration_leaves_the_one_in_force(self):
+        with self.assertLogs("currantwharf", "WARNING"):
+            self.assertIsNone(self.decode({**ROUTE, "route-type": "maybe"}))
+            self.assertIsNone(self.decode({**ROUTE, "fanout": []}))
+            self.assertIsNone(self.decode(ROUTE, version="new"))
+            self.assertIsNone(decode_item(item("op/config", b"{")))
+
+    def test_other_keys_are_of_no_concern(self):
+        self.assertIsNone(decode_item(item("else/x", {})))
+
+    def test_data_centre_out_and_back(self):
+        found = decode_item(item("op/evacuate/taipei-a", {}))
+        self.assertEqual(found.change, DataCentreChanged("taipei-a", True))
+        back = decode_item(ItemDocument("op/evacuate/taipei-a", 9, removed=True))
+        self.assertEqual(back.change, DataCentreChanged("taipei-a", False))
+
+    def test_document_is_a_config_change(self):
+        self.assertIsInstance(self.decode(ROUTE).change, ConfigChanged)
--- /dev/null
+++ b/currantwharf/platform/tests/test_platform_settings.py
@@ -0,0 +1,50 @@
+import tempfile
+import unittest
+from pathlib import Path
+
+from result import Err
+
+from currantwharf.platform.platform_settings import load_platform_settings
+
+TEXT = """
+node-name: "front-taipei-a-1"
+ip: "10.1.0.9"
+zone: "taipei-a"
+region: "taipei"
+zones: {taipei-a: "taipei", taichung-a: "taichung"}
+listen: {front: "10.1.0.9:8104", ready: "10.1.0.9:8108", control: "10.1.0.9:8106"}
+port-range: [7380, 7395]
+seeds: ["10.1.0.9:8106", "10.2.0.21:8106"]
+bounds: {retry-budget-ratio: 0.2, budget-slack: 58, grace-s: 6, config-apply-ms: 4000}
+platform: {address: "10.200.1.7:8102", form: "read"}
+later: "a field that is not known"
+"""
+
+
+class PlatformSettingsTests(unittest.TestCase):
+    def load(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "local.yaml"
+            path.write_text(text)
+            return load_platform_settings(path)
+
+    def test_settings(self):
+        found = self.load(TEXT).unwrap()
+        self.assertEqual(found.place.instance, "front-taipei-a-1")
+        self.assertEqual(found.place.seeds, ("10.1.0.9", "10.2.0.21"))
+        self.assertEqual(found.place.gossip_port, 7380)
+        self.assertEqual(found.place.fetch_port, 8106)
+        self.assertEqual(found.callers, ("10.1.0.9", 8104))
+        self.assertEqual(found.limits.repeat_slack, 58)
+        self.assertEqual(found.limits.apply_s, 4.0)
+
+    def test_files_that_are_not_valid(self):
+        for text in (
+            "",
+            "- a list",
+            "node-name: [",
+            TEXT.replace("10.200.1.7:8102", "nowhere"),
+            TEXT.replace('ip: "10.1.0.9"', ""),
+        ):
+            with self.subTest(text=text[:20]):
+                self.assertIsInstance(self.load(text), Err)
