Play the whole path on loopback, and run timers on the monotonic clock

Cause: Twisted's timers follow the time of day, so a step of the clock would fire hedges and timeouts early or hold them; found by the first test with the real reactor, whose waits compared the two clocks.

Change: the reactor of an instance reads the monotonic clock.

--- a/currantwharf/cli/gateway_command.py
+++ b/currantwharf/cli/gateway_command.py
@@ -27,7 +27,7 @@
     settings = loaded_or_exit(load_platform_settings(path))
     from twisted.internet import reactor
 
-    from currantwharf.platform.serve import serve
+    from currantwharf.platform.platform_instance import serve
     from currantwharf.runtime.bounded_stream import BoundedStream
     from currantwharf.runtime.clock import SystemClock
     from currantwharf.runtime.part_log import set_up_logs
--- /dev/null
+++ b/currantwharf/platform/platform_instance.py
@@ -0,0 +1,147 @@
+"""Run one instance on the platform until it is told to stop."""
+
+import os
+import random
+import signal
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from result import Err
+from twisted.internet.error import CannotListenError
+from twisted.internet.protocol import Factory
+
+from currantwharf.gateway.gateway import Gateway
+from currantwharf.http1 import CallerConnection, HttpRequest, RequestLimits, Responder
+from currantwharf.platform.backend_protocol import PlatformBackendWire
+from currantwharf.platform.caller_protocol import CallerProtocol
+from currantwharf.platform.platform_settings import (
+    Address,
+    PlatformSettings,
+    load_platform_settings,
+)
+from currantwharf.platform.ready_site import answer_ready
+from currantwharf.platform.store_client import StoreClient
+from currantwharf.runtime.clock import SystemClock
+from currantwharf.runtime.part_log import part_log
+
+METRICS_PORT = 9464  # the port that exporters of metrics commonly use
+METRICS_TYPE = (b"content-type", b"text/plain; version=0.0.4")
+BACKLOG = 512  # connections that wait to be accepted; a burst brings hundreds
+
+Handle = Callable[[HttpRequest, Responder], None]
+log = part_log("serve")
+
+
+class PlatformInstance:
+    """One instance and its ports.
+
+    `metrics_port` is 0 for any free port, as in tests.
+    """
+
+    def __init__(
+        self, settings: PlatformSettings, reactor: Any, metrics_port: int = METRICS_PORT
+    ) -> None:
+        clock = SystemClock()
+        # Twisted's timers follow the time of day by default, which may be set.
+        reactor.seconds = clock.now
+        self.gateway = Gateway(
+            reactor,
+            clock,
+            settings.place,
+            settings.limits,
+            StoreClient(reactor, clock, settings.store),
+            PlatformBackendWire(),
+            random.Random(os.urandom(16)),
+        )
+        self.ports: list[Any] = []
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = clock
+        self._metrics_port = metrics_port
+        self._callers = CallerProtocol(self.gateway.entry_point, clock.now)
+
+    def listen(self) -> None:
+        """Open all ports, the callers' last; CannotListenError if one is taken."""
+        settings, gateway = self._settings, self.gateway
+        metrics = (settings.place.host, self._metrics_port)
+        self._listen(settings.peers, self._plain(gateway.peers.answer_fetch))
+        self._listen(metrics, self._plain(self._answer_metrics))
+        self._listen(settings.ready, self._plain(self._answer_ready))
+        self._listen(settings.callers, self._caller_connection)
+
+    def start(self) -> None:
+        """Begin to read and to serve."""
+        self.gateway.start()
+        log.info("started", extra={"instance": self._settings.place.instance})
+
+    def stop(self, on_stopped: Callable[[], None]) -> None:
+        """Stop gracefully."""
+        self.gateway.stop(self.ports[-1].stopListening, on_stopped)
+
+    def reload(self, path: Path) -> None:
+        """Take the settings file anew, if it is valid."""
+        found = load_platform_settings(path)
+        if isinstance(found, Err):
+            log.error("settings not reloaded", extra={"why": str(found.unwrap_err())})
+            return
+        settings = found.unwrap()
+        self.gateway.set_limits(settings.limits, settings.place.seeds)
+        log.info("settings reloaded")
+
+    def _listen(self, address: Address, build: Callable[[], CallerConnection]) -> None:
+        factory = Factory.forProtocol(build)
+        port = self._reactor.listenTCP(address[1], factory, BACKLOG, address[0])
+        self.ports.append(port)
+
+    def _caller_connection(self) -> CallerConnection:
+        gateway = self.gateway
+        conn = CallerConnection(
+            self._callers.handle,
+            gateway.request_limits(),
+            self._clock.now,
+            gateway.is_closing,
+            gateway.callers.discard,
+        )
+        gateway.callers.add(conn)
+        return conn
+
+    def _plain(self, handle: Handle) -> Callable[[], CallerConnection]:
+        return lambda: CallerConnection(
+            handle,
+            RequestLimits(),
+            self._clock.now,
+            lambda: False,
+            lambda conn: None,
+        )
+
+    def _answer_ready(self, request: HttpRequest, responder: Responder) -> None:
+        answer_ready(request, responder, lambda: self.gateway.is_ready)
+
+    def _answer_metrics(self, request: HttpRequest, responder: Responder) -> None:
+        responder.finish(200, (METRICS_TYPE,), self.gateway.metrics.text())
+
+
+def serve(settings: PlatformSettings, path: Path, reactor: Any) -> int:
+    """Run an instance in this process and return its exit code."""
+    instance = PlatformInstance(settings, reactor)
+    try:
+        instance.listen()
+    except CannotListenError as exc:
+        log.error("a port can't be opened", extra={"why": str(exc)})
+        return 3
+
+    def begin_stop(*_: object) -> None:
+        reactor.callFromThread(instance.stop, reactor.stop)
+
+    def reload(*_: object) -> None:
+        reactor.callFromThread(instance.reload, path)
+
+    # The reactor's own handlers would cut requests off.
+    reactor.callWhenRunning(signal.signal, signal.SIGTERM, begin_stop)
+    reactor.callWhenRunning(signal.signal, signal.SIGINT, begin_stop)
+    reactor.callWhenRunning(signal.signal, signal.SIGHUP, reload)
+    instance.start()
+    reactor.run(installSignalHandlers=False)
+    log.info("stopped")
+    return 0
--- /dev/null
+++ b/currantwharf/platform/tests/test_whole_path.py
@@ -0,0 +1,215 @@
+"""The whole path on loopback: store, servers and two instances in one process."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from time import monotonic
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from currantwharf.http1 import ConnectionPool, Exchange, encode_request
+from currantwharf.platform.platform_instance import PlatformInstance
+from currantwharf.platform.platform_settings import load_platform_settings
+from currantwharf.standin.platform_site import ORDERS, PlatformSite
+from currantwharf.tests.loopback import result_of, run_for, run_until
+
+FIRST_PORTS = iter(range(21000, 29000, 20))
+
+
+class WholePathTests(unittest.TestCase):
+    def setUp(self):
+        self.site = PlatformSite(reactor)
+        self.site.start()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        first_port = next(FIRST_PORTS)
+        self.settings = []
+        for number in (1, 2):
+            path = self.site.write_settings(Path(folder.name), number, first_port)
+            self.settings.append(load_platform_settings(path).unwrap())
+        self.instances = [PlatformInstance(s, reactor, 0) for s in self.settings]
+        self.pools = []
+        for instance in self.instances:
+            instance.listen()
+            instance.start()
+        self.sent = 0
+        run_until(lambda: all(i.gateway.is_ready for i in self.instances))
+        run_until(lambda: all(self.knows(i) for i in self.instances))
+
+    def knows(self, instance):
+        """Whether an instance knows the fleet and all servers."""
+        entries = instance.gateway.registry.directory.entries()
+        size = instance.gateway.table.size(reactor.seconds())
+        return len(entries) == len(self.site.servers) and size == 2
+
+    def tearDown(self):
+        for instance in self.instances:
+            self.close(instance)
+        for pool in self.pools:
+            pool.close()
+        self.site.stop()
+        run_for(0.02)
+
+    def close(self, instance):
+        if instance.gateway._sweep.running:
+            instance.gateway._sweep.stop()
+        instance.gateway.peers._rounds.stop()
+        instance.gateway.peers.transport.stopListening()
+        instance.gateway.reader._is_reader = lambda: False
+        instance.gateway.pools.close_all()
+        for port in instance.ports:
+            port.stopListening()
+        for conn in list(instance.gateway.callers):
+            conn.transport.abortConnection()
+
+    def ask(self, target, number=0, method=b"GET", body=b"", headers=(), port=None):
+        self.sent += 1
+        request_id = b"request-%d" % self.sent
+        head = (
+            (b"host", b"search.example"),
+            (b"x-request-id", request_id),
+            (b"x-deadline-ms", b"1000"),
+            *headers,
+        )
+        data = encode_request(method, target, head, body)
+        done = Deferred()
+        address = port or self.settings[number].callers
+        pool = ConnectionPool(reactor, reactor.seconds, address, 1)
+        self.pools.append(pool)
+        exchange = Exchange(
+            lambda now: data,
+            lambda answer: True,
+            reactor.seconds() + 5,
+            False,
+            done.callback,
+        )
+        pool.send(exchange)
+        return done
+
+    def test_lookup_merges_all_shards(self):
+        for number in (0, 1):
+            answer = result_of(self.ask(b"/lookup/longan", number))
+            self.assertEqual(answer.status, 200)
+            signatures = answer.get(b"x-part-stamps").split(b", ")
+            self.assertEqual(len(set(signatures)), self.site.shards)
+            self.assertEqual(answer.get(b"x-missing-parts"), b"0")
+            records = [answer.body[at : at + 16] for at in range(0, 160, 16)]
+            self.assertEqual(len(answer.body), 160)
+            self.assertEqual(records, sorted(records, reverse=True))
+
+    def test_order_runs_once_and_is_relayed_unchanged(self):
+        answer = result_of(self.ask(b"/order/1", method=b"POST", body=b"camphor"))
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(answer.get(b"x-server-stamp").endswith(b"request-1"))
+        self.assertEqual(len(answer.body), 400)
+        runs = [r for s in self.site.servers.values() for r in s.runs]
+        self.assertEqual(runs.count("request-1"), 1)
+
+    def test_route_that_does_not_exist(self):
+        answer = result_of(self.ask(b"/nowhere/1"))
+        self.assertEqual(answer.status, 404)
+
+    def test_silent_server_is_hedged(self):
+        result_of(self.ask(b"/lookup/warm"))
+        for name, server in self.site.servers.items():
+            server.faults.silent = name.startswith("i-shard-0-taichung")
+        for number in (0, 1):
+            answer = result_of(self.ask(b"/lookup/x", number))
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(answer.get(b"x-missing-parts"), b"0")
+
+    def test_lost_shard_is_left_out_and_said_so(self):
+        for name, server in self.site.servers.items():
+            server.faults.silent = name.startswith("i-shard-0-")
+        answer = result_of(self.ask(b"/lookup/x"))
+        self.assertEqual(answer.get(b"x-missing-parts"), b"1")
+        self.assertEqual(len(answer.get(b"x-part-stamps").split(b", ")), 3)
+
+    def test_order_that_all_servers_shed_is_refused_and_has_not_run(self):
+        for server in self.site.servers.values():
+            server.faults.shed = True
+        answer = result_of(self.ask(b"/order/1", method=b"POST", body=b"x"))
+        self.assertEqual(answer.status, 503)
+        self.assertLess(float(answer.get(b"retry-after")), 1.0)
+        runs = [r for s in self.site.servers.values() for r in s.runs]
+        self.assertEqual(runs, [])
+
+    def test_order_that_failed_is_relayed_and_not_repeated(self):
+        for server in self.site.servers.values():
+            server.faults.failing = True
+        answer = result_of(self.ask(b"/order/1", method=b"POST", body=b"x"))
+        self.assertEqual(answer.status, 500)
+        runs = [r for s in self.site.servers.values() for r in s.runs]
+        self.assertEqual(runs, ["request-1"])
+
+    def test_leaving_server_gets_nothing_and_the_fleet_hears_of_it(self):
+        leaving = f"i-{ORDERS}-taipei-a"
+        self.site.register(leaving, state="draining")
+        revision = self.site.store.revision
+        run_until(
+            lambda: all(i.gateway.registry.revision >= revision for i in self.instances)
+        )
+        before = len(self.site.servers[leaving].arrived)
+        for number in (0, 1, 0, 1):
+            answer = result_of(self.ask(b"/order/1", number, method=b"POST", body=b"x"))
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.site.servers[leaving].arrived), before)
+
+    def test_data_centre_that_is_out_gets_nothing(self):
+        self.site.store.put("op/evacuate/taipei-a", {})
+        run_until(lambda: all(i.gateway.chooser.out for i in self.instances))
+        for server in self.site.servers.values():
+            server.arrived.clear()
+        answer = result_of(self.ask(b"/lookup/x"))
+        self.assertEqual(answer.get(b"x-missing-parts"), b"0")
+        for name, server in self.site.servers.items():
+            if name.endswith("taipei-a"):
+                self.assertEqual(server.arrived, [], name)
+
+    def test_store_that_is_down_stops_nothing(self):
+        self.site.store.fault = 503
+        self.site.store.put("op/config", b"lost to everyone")
+        run_for(0.5)
+        answer = result_of(self.ask(b"/lookup/x"))
+        self.assertEqual(answer.status, 200)
+
+    def test_history_that_is_lost_is_read_anew(self):
+        self.site.store.fault = "silent"
+        self.site.publish(routes=[])
+        self.site.store.forget_history()
+        self.site.store.fault = None
+        for watch in list(self.site.store._watches):
+            watch[2].finish(410, (), b"")
+        self.site.store._watches.clear()
+        version = self.site.version
+        run_until(
+            lambda: all(
+                i.gateway.registry.config.version == version for i in self.instances
+            )
+        )
+
+    def test_graceful_stop_cuts_off_nothing(self):
+        for server in self.site.servers.values():
+            server.faults.slow = 40.0
+        under_way = self.ask(b"/order/1", method=b"POST", body=b"x")
+        run_for(0.05)
+        stopped = []
+        self.instances[0].stop(lambda: stopped.append(True))
+        ready = result_of(self.ask(b"/currantwharf/ready", port=self.settings[0].ready))
+        self.assertEqual(ready.status, 503)
+        answer = result_of(under_way)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.get(b"connection"), b"close")
+        run_until(lambda: stopped)
+
+    def test_metrics_tell_of_the_calls(self):
+        result_of(self.ask(b"/lookup/x"))
+        port = self.instances[0].ports[1].getHost()
+        answer = result_of(self.ask(b"/metrics", port=(port.host, port.port)))
+        self.assertIn(
+            b'currantwharf_calls_total{class="lookup",outcome="answered"', answer.body
+        )
+
+    def test_timers_follow_the_monotonic_clock(self):
+        self.assertAlmostEqual(reactor.seconds(), monotonic(), delta=1.0)
--- /dev/null
+++ b/currantwharf/standin/metadata_store.py
@@ -0,0 +1,124 @@
+"""A stand-in of the platform's metadata store: ranges, watches and their faults.
+
+Writing is for tests, the demo and the operator they play.
+"""
+
+import base64
+import json
+from collections import deque
+from typing import Any
+from urllib.parse import parse_qs
+
+from currantwharf.http1 import HttpRequest, Responder
+from currantwharf.platform.names import RANGE_PATH, WATCH_PATH
+
+PAGE = 50  # items in one page
+
+
+class MetadataStoreStandIn:
+    """Hold items by key with one counter of revisions, and the changes so far.
+
+    `fault` is the status that each call gets instead of an answer, or `silent`.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self.revision = 1
+        self.calls = 0
+        self.fault: int | str | None = None
+        self._reactor = reactor
+        self._items: dict[str, dict[str, Any]] = {}
+        self._events: deque[dict[str, Any]] = deque()
+        self._forgotten = 0
+        self._watches: list[tuple[str, int, Responder]] = []
+
+    def put(self, key: str, value: object) -> None:
+        """Write an item."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.revision += 1
+        item = {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "revision": self.revision,
+            "created-rev": self.revision,
+            "lease": 0,
+        }
+        self._items[key] = item
+        self._publish(item)
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        if self._items.pop(key, None) is not None:
+            self.revision += 1
+            event = {"key": key, "revision": self.revision, "removed": True}
+            self._publish(event)
+
+    def forget_history(self) -> None:
+        """Drop the changes so far; watches that need them get 410."""
+        self._events.clear()
+        self._forgotten = self.revision
+
+    def handle(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one call."""
+        self.calls += 1
+        if self.fault == "silent":
+            return
+        if isinstance(self.fault, int):
+            responder.finish(self.fault, (), b"")
+            return
+        path, _, query = request.target.decode().partition("?")
+        fields = {k: v[0] for k, v in parse_qs(query, keep_blank_values=True).items()}
+        if path == RANGE_PATH:
+            self._range(fields, responder)
+        elif path == WATCH_PATH:
+            self._watch(fields, responder)
+        else:
+            responder.finish(404, (), b"")
+
+    def _range(self, fields: dict[str, str], responder: Responder) -> None:
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(fields["prefix"]) and key > fields.get("after", "")
+        )
+        body = {
+            "items": [self._items[key] for key in keys[:PAGE]],
+            "truncated": len(keys) > PAGE,
+            "store-revision": self.revision,
+        }
+        responder.finish(200, (), json.dumps(body).encode())
+
+    def _watch(self, fields: dict[str, str], responder: Responder) -> None:
+        after = int(fields["after"])
+        if after < self._forgotten:
+            responder.finish(410, (), b"")
+            return
+        watch = (fields["prefix"], after, responder)
+        if self._tell(watch, only_events=True):
+            return
+        self._watches.append(watch)
+        wait_s = int(fields["wait-ms"]) / 1000
+        self._reactor.callLater(wait_s, self._end, watch)
+
+    def _end(self, watch: tuple[str, int, Responder]) -> None:
+        if watch in self._watches:
+            self._watches.remove(watch)
+            self._tell(watch, only_events=False)
+
+    def _publish(self, event: dict[str, Any]) -> None:
+        self._events.append(event)
+        if self.fault is not None:
+            return
+        self._watches = [w for w in self._watches if not self._tell(w, True)]
+
+    def _tell(self, watch: tuple[str, int, Responder], only_events: bool) -> bool:
+        prefix, after, responder = watch
+        events = [
+            event
+            for event in self._events
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
+        if only_events and not events:
+            return False
+        body = {"events": events, "store-revision": self.revision}
+        responder.finish(200, (), json.dumps(body).encode())
+        return True
--- /dev/null
+++ b/currantwharf/standin/platform_site.py
@@ -0,0 +1,153 @@
+"""A stand-in of the whole platform on loopback: store, servers and their entries."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import yaml
+from twisted.internet.protocol import Factory
+
+from currantwharf.http1 import (
+    CallerConnection,
+    HttpRequest,
+    RequestLimits,
+    Responder,
+)
+from currantwharf.standin.metadata_store import MetadataStoreStandIn
+from currantwharf.standin.shard_server import ShardServer
+
+DATA_CENTRES = {"taipei-a": "taipei", "taichung-a": "taichung"}
+HOST = "127.0.0.1"
+ORDERS = "orders"
+
+Handle = Callable[[HttpRequest, Responder], None]
+
+
+@dataclass(slots=True)
+class PlatformSite:
+    """Run a store and two servers for each of `shards` shards and for orders."""
+
+    reactor: Any
+    shards: int = 4
+    work_s: float = 0.005
+    version: int = 1
+    servers: dict[str, ShardServer] = field(default_factory=dict)
+    ports: list[Any] = field(default_factory=list)
+    store: MetadataStoreStandIn = field(init=False)
+    store_address: str = ""
+
+    def start(self) -> None:
+        """Open all ports, publish the configuration and register the servers."""
+        self.store = MetadataStoreStandIn(self.reactor)
+        self.store_address = self._listen(self.store.handle)
+        for service in (*self.shard_names(), ORDERS):
+            for data_centre in DATA_CENTRES:
+                self._start_server(service, data_centre)
+        self.publish()
+
+    def stop(self) -> None:
+        """Close all ports."""
+        for port in self.ports:
+            port.stopListening()
+
+    def shard_names(self) -> list[str]:
+        """Return the names of the shards' services."""
+        return [f"shard-{number}" for number in range(self.shards)]
+
+    def publish(self, **changes: object) -> None:
+        """Publish the next version of the configuration."""
+        self.version += 1
+        route = {
+            "host": "search.example",
+            "timeout-ms": 1000,
+            "target-latency-ms": 200,
+            "max-attempts": 2,
+        }
+        routes = [
+            {
+                **route,
+                "name": "lookup",
+                "prefix": "/lookup/",
+                "route-type": "idempotent",
+                "fanout": self.shard_names(),
+                "top-k": 10,
+                "min-coverage": 0.5,
+            },
+            {
+                **route,
+                "name": "order",
+                "prefix": "/order/",
+                "route-type": "non_idempotent",
+                "service": ORDERS,
+            },
+        ]
+        services = [
+            {"name": name, "max-conns": 26} for name in (*self.shard_names(), ORDERS)
+        ]
+        document = {"version": self.version, "routes": routes, "services": services}
+        self.store.put("op/config", {**document, **changes})
+
+    def register(self, server: str, state: str = "ready", **changes: object) -> None:
+        """Register a server with a state."""
+        service, data_centre, address = self._entries[server]
+        entry = {
+            "service": service,
+            "address": address,
+            "zone": data_centre,
+            "version": "v1",
+            "slots": 2,
+            "state": state,
+            "warmup-left-ms": 0,
+            "sequence": 1,
+        }
+        self.store.put(f"servers/{server}", {**entry, **changes})
+
+    def write_settings(self, folder: Path, number: int, first_port: int) -> Path:
+        """Write the settings file of one instance, on a loopback address of its own."""
+        ip = f"127.0.0.{number + 1}"
+        data_centre = list(DATA_CENTRES)[number % len(DATA_CENTRES)]
+        settings = {
+            "node-name": f"front-{data_centre}-{number}",
+            "ip": ip,
+            "zone": data_centre,
+            "region": DATA_CENTRES[data_centre],
+            "zones": DATA_CENTRES,
+            "listen": {
+                "front": f"{ip}:{first_port}",
+                "ready": f"{ip}:{first_port + 1}",
+                "control": f"{ip}:{first_port + 2}",
+            },
+            "port-range": [first_port + 3, first_port + 9],
+            "seeds": [f"127.0.0.2:{first_port + 2}"],
+            "bounds": {"retry-budget-ratio": 0.2, "budget-slack": 50, "grace-s": 6},
+            "platform": {"address": self.store_address},
+        }
+        path = folder / f"instance-{number}.yaml"
+        path.write_text(yaml.safe_dump(settings))
+        return path
+
+    _entries: dict[str, tuple[str, str, str]] = field(default_factory=dict)
+
+    def _start_server(self, service: str, data_centre: str) -> None:
+        name = f"i-{service}-{data_centre}"
+        server = ShardServer(self.reactor, name, 2, self.work_s, len(self.servers))
+        self.servers[name] = server
+        address = self._listen(server.handle)
+        self._entries[name] = (service, data_centre, address)
+        self.register(name)
+
+    def _listen(self, handle: Handle) -> str:
+        def build() -> CallerConnection:
+            return CallerConnection(
+                handle,
+                RequestLimits(),
+                self.reactor.seconds,
+                lambda: False,
+                lambda conn: None,
+            )
+
+        factory = Factory.forProtocol(build)
+        port = self.reactor.listenTCP(0, factory, interface=HOST)
+        self.ports.append(port)
+        return f"{HOST}:{port.getHost().port}"
