Notice watches of the store that have gone deaf

Those that could have read did not take over at once, since hearsay did not tell whom the store had failed; traced by logging each watch.

Change: hearsay says whom the store fails, and near peers hear of it at once; a reader whose watch brings nothing for 0.8 s while others know of newer changes gives it up; all instances together ask the store once in 2 s whether there is anything new.

Tests: four, which failed before.

--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -37,6 +37,7 @@
 SWEEP_S = 0.25  # seconds between two looks at what is overdue
 BALANCER_S = 2.6  # seconds until a balancer that checks each second has missed two
 MARGIN_S = 0.35  # seconds kept from the time in which the process has to end
+ALL_NEAR = 4  # instances near by that hear at once that another one had better read
 RELEARN_S = 1.5  # seconds after a pause in which an answer of a peer is waited for
 
 log = part_log("gateway")
@@ -86,6 +87,8 @@
             self.registry,
             self._is_reader,
             self._on_store_news,
+            lambda: self.peers.tell(ALL_NEAR, 0),
+            lambda: self.table.size(clock.now()),
             rng,
         )
         self.peers = PeerTask(
@@ -163,6 +166,7 @@
             self.peers.tell_everyone()
         for server in self.registry.expire(now):
             self._forget(server)
+        self.reader.note_newest(self.table.newest_revision())
         self._set_share(1 / self.table.size(now))
         self.calls.sweep(now)
         self.pools.sweep(now)
--- a/currantwharf/gateway/metadata_store.py
+++ b/currantwharf/gateway/metadata_store.py
@@ -28,3 +28,6 @@
         self, after: int, wait_s: float
     ) -> "Deferred[StoreEvents | StoreFailure]":
         """Return what changed after a revision, or nothing after `wait_s` seconds."""
+
+    def give_up_watch(self) -> None:
+        """End the watch that waits; it fails as silent."""
--- a/currantwharf/gateway/registry_task.py
+++ b/currantwharf/gateway/registry_task.py
@@ -16,6 +16,9 @@
 PACE_S = 0.7  # seconds between two watches; changes meanwhile come in one answer
 READER_CHECK_S = 0.25  # seconds between two looks at who reads the store
 DOUBT_S = 3.0  # seconds after a failure in which another instance had better read
+DEAF_S = 0.8  # seconds that a watch may be behind the changes that others know of
+SPOT_CHECK_S = 2.0  # seconds between two spot checks of the fleet; half of what a
+# configuration may take to be in force
 FIRST_WAIT_S = 0.1  # seconds before a call is made again after a failure
 LONGEST_WAIT_S = 0.8  # seconds; a store that is back is read well within a second
 
@@ -28,7 +31,7 @@
     `is_reader` tells whether it is; the others hear of changes from it. A watch goes
     on from what the registry knows, wherever that came from, and everything is read
     anew when the store's history does not reach back so far. `on_news` hears the
-    changes that were news.
+    changes that were news, `on_doubt` that another instance had better read.
     """
 
     def __init__(
@@ -39,6 +42,8 @@
         registry: Registry,
         is_reader: Callable[[], bool],
         on_news: Callable[[list[RevisedChange]], None],
+        on_doubt: Callable[[], None],
+        fleet_size: Callable[[], int],
         rng: random.Random,
     ) -> None:
         self.heard_at = -1e9
@@ -49,14 +54,37 @@
         self._registry = registry
         self._is_reader = is_reader
         self._on_news = on_news
+        self._on_doubt = on_doubt
+        self._fleet_size = fleet_size
+        self._watched_from = 0
         self._rng = rng
         self._failures = 0
         self._doubt_until = -1e9
         self._may_be_stale = True
+        self._is_watching = False
+        self._lagging_since: float | None = None
 
     def start(self) -> None:
         """Begin to read."""
         ensureDeferred(self._run())
+        ensureDeferred(self._run_spot_checks())
+
+    def note_newest(self, revision: int) -> None:
+        """Compare a watch with the newest revision that peers have told of.
+
+        A watch that brings nothing while others hear of changes has gone deaf: it is
+        given up, and another instance reads for a while.
+        """
+        now = self._clock.now()
+        if not self._is_watching or self._watched_from >= revision:
+            self._lagging_since = None
+        elif self._lagging_since is None:
+            self._lagging_since = now
+        elif now - self._lagging_since > DEAF_S:
+            self._lagging_since = None
+            log.warning("the watch brings nothing", extra={"newest": revision})
+            self._doubt(now)
+            self._store.give_up_watch()
 
     @property
     def can_read(self) -> bool:
@@ -88,8 +116,10 @@
 
     async def _watch(self) -> bool:
         """Watch once; return whether the store's history reached back so far."""
-        after = self._registry.revision
+        after = self._watched_from = self._registry.revision
+        self._is_watching = True
         found = await self._store.watch(after, WATCH_S)
+        self._is_watching = False
         if found is StoreFailure.HISTORY_LOST:
             log.warning("the store's history is lost", extra={"after": after})
             return False
@@ -119,11 +149,38 @@
         if self.is_store_up:
             self.is_store_up = False
             log.warning("the store does not answer", extra={"why": failure.value})
-        self._doubt_until = self._clock.now() + DOUBT_S
+        self._doubt(self._clock.now())
         wait_s = min(FIRST_WAIT_S * 2**self._failures, LONGEST_WAIT_S)
         self._failures = min(self._failures + 1, 8)
         await self._wait(wait_s * self._rng.uniform(0.5, 1.0))
 
+    async def _run_spot_checks(self) -> None:
+        """Ask now and then whether there is anything that the readers did not hear.
+
+        All instances together make one such call in `SPOT_CHECK_S` seconds.
+        """
+        while True:
+            wait_s = SPOT_CHECK_S * self._fleet_size() * self._rng.uniform(0.5, 1.5)
+            await self._wait(wait_s)
+            if self._is_watching or not self._registry.is_known:
+                continue
+            found = await self._store.watch(self._registry.revision, 0.0)
+            if not isinstance(found, StoreEvents):
+                log.info("spot check failed", extra={"why": found})
+                self._doubt(self._clock.now())
+                continue
+            news = self._registry.take_events(found, self._clock.now())
+            if news:
+                log.info("spot check found changes", extra={"count": len(news)})
+                self._on_news(news)
+
+    def _doubt(self, now: float) -> None:
+        """Let another instance read for a while."""
+        was_able = self.can_read
+        self._doubt_until = now + DOUBT_S
+        if was_able:
+            self._on_doubt()
+
     def _wait(self, seconds: float) -> "Deferred[None]":
         waited: Deferred[None] = Deferred()
         self._reactor.callLater(seconds, waited.callback, None)
--- a/currantwharf/gateway/tests/test_registry_task.py
+++ b/currantwharf/gateway/tests/test_registry_task.py
@@ -7,7 +7,7 @@
 from currantwharf.gateway.changes import StoreEvents, StoreSnapshot
 from currantwharf.gateway.metadata_store import StoreFailure
 from currantwharf.gateway.registry import Registry
-from currantwharf.gateway.registry_task import PACE_S, RegistryTask
+from currantwharf.gateway.registry_task import PACE_S, SPOT_CHECK_S, RegistryTask
 from currantwharf.tests.gateway_builders import (
     config_change,
     make_chooser,
@@ -31,6 +31,9 @@
         self.calls.append((name, Deferred()))
         return self.calls[-1][1]
 
+    def give_up_watch(self):
+        self.calls.pop(0)[1].callback(StoreFailure.SILENT)
+
     def answer(self, name, result):
         asked, done = self.calls.pop(0)
         assert asked == name, (asked, name)
@@ -44,6 +47,7 @@
         self.store = FakeStore()
         self.news = []
         self.is_reader = True
+        self.doubts = []
         chooser = make_chooser([])
         self.registry = Registry(chooser.directory, chooser)
         self.task = RegistryTask(
@@ -53,6 +57,8 @@
             self.registry,
             lambda: self.is_reader,
             self.news.extend,
+            lambda: self.doubts.append(True),
+            lambda: 4,
             random.Random(1),
         )
         self.task.start()
@@ -108,3 +114,40 @@
         self.is_reader = True
         self.clock.advance(1.0)
         self.assertEqual(self.store.calls[0][0], "watch 12")
+
+    def test_watch_that_brings_nothing_while_others_hear_is_given_up(self):
+        self.read()
+        self.task.note_newest(10)
+        self.clock.advance(2.0)
+        self.task.note_newest(12)
+        self.clock.advance(0.5)
+        self.task.note_newest(12)
+        self.assertTrue(self.task.can_read)
+        self.clock.advance(0.5)
+        self.task.note_newest(12)
+        self.assertFalse(self.task.can_read)
+        self.assertEqual(self.doubts, [True])
+        self.clock.advance(1.0)
+        self.assertEqual(self.store.calls[0][0], "watch 10")
+
+    def test_spot_check_finds_what_deaf_readers_missed(self):
+        self.is_reader = False
+        self.read()
+        for _ in range(130):
+            self.clock.advance(0.1)
+            if self.store.calls:
+                break
+        found = StoreEvents((config_change(9, 14),), 10, 14)
+        self.store.answer("watch 10", found)
+        self.assertEqual(self.registry.config.version, 9)
+
+    def test_spot_checks_of_the_fleet_are_bounded(self):
+        self.is_reader = False
+        self.read()
+        calls = 0
+        for _ in range(800):
+            self.clock.advance(0.1)
+            while self.store.calls:
+                calls += 1
+                self.store.answer("watch 10", StoreEvents((), 10, 10))
+        self.assertLessEqual(calls * 4, 1.5 * 80 / SPOT_CHECK_S)
--- a/currantwharf/peers/hello.py
+++ b/currantwharf/peers/hello.py
@@ -6,12 +6,16 @@
 
 
 class MemberNews(msgspec.Struct, frozen=True, array_like=True):
-    """Tell of one instance; `age_s` is how long ago it was heard, in seconds."""
+    """Tell of one instance; `age_s` is how long ago it was heard, in seconds.
+
+    `can_read` is what it said then of the store.
+    """
 
     name: str
     host: str
     data_centre: str
     age_s: float
+    can_read: bool = True
 
 
 class LossNews(msgspec.Struct, frozen=True, array_like=True):
--- a/currantwharf/peers/peer_table.py
+++ b/currantwharf/peers/peer_table.py
@@ -62,7 +62,11 @@
             chosen[0] = reader
         return tuple(
             MemberNews(
-                peer.name, peer.host, peer.data_centre, round(now - peer.heard_at, 2)
+                peer.name,
+                peer.host,
+                peer.data_centre,
+                round(now - peer.heard_at, 2),
+                peer.can_read,
             )
             for peer in chosen
         )
@@ -94,6 +98,10 @@
         able = [name for name, able in live.items() if able]
         return highest(f"reader|{self._data_centre}", able or live)
 
+    def newest_revision(self) -> int:
+        """Return the highest revision that any other instance has told of."""
+        return max((peer.revision for peer in self._peers.values()), default=0)
+
     def is_hearing(self, now: float) -> bool:
         """Return whether any other instance was heard a moment ago."""
         return any(now - peer.heard_at < READER_S for peer in self._peers.values())
@@ -118,7 +126,11 @@
         heard_at = now - max(0.0, news.age_s)
         known = self._peers.get(news.name)
         if known is None:
-            known = Peer(news.name, news.host, news.data_centre, heard_at)
+            known = Peer(
+                news.name, news.host, news.data_centre, heard_at, news.can_read
+            )
             self._peers[news.name] = known
         elif known.heard_at < heard_at:
-            self._peers[news.name] = replace(known, heard_at=heard_at)
+            self._peers[news.name] = replace(
+                known, heard_at=heard_at, can_read=news.can_read
+            )
--- a/currantwharf/peers/tests/test_peer_table.py
+++ b/currantwharf/peers/tests/test_peer_table.py
@@ -63,3 +63,12 @@
         self.assertEqual(decode_hello(encode_hello(sent)), sent)
         self.assertIsNone(decode_hello(b"\x01\x02"))
         self.assertIsNone(decode_hello(encode_hello(sent)[:-3]))
+
+    def test_hearsay_tells_whom_the_store_fails(self):
+        for name in "xyz":
+            self.table.take(hello(name), 0.0)
+        reader = self.table.reader(0.0, can_read=False)
+        other = next(name for name in "xyz" if name != reader)
+        news = (MemberNews(reader, "h", "a", 0.1, False),)
+        self.table.take(hello(other, members=news), 1.0)
+        self.assertNotEqual(self.table.reader(1.0, can_read=False), reader)
--- a/currantwharf/platform/store_client.py
+++ b/currantwharf/platform/store_client.py
@@ -45,6 +45,7 @@
 
     def __init__(self, reactor: Any, clock: Clock, address: Address) -> None:
         self.calls = 0
+        self._watching: Exchange | None = None
         self._reactor = reactor
         self._clock = clock
         self._host = b"%s:%d" % (address[0].encode(), address[1])
@@ -60,6 +61,11 @@
         """Return what changed after a revision, or nothing after `wait_s` seconds."""
         return ensureDeferred(self._watch(after, wait_s))
 
+    def give_up_watch(self) -> None:
+        """End the watch that waits; it fails as silent."""
+        if self._watching is not None:
+            self._pool.withdraw(self._watching, ConnectionFailure.TIMED_OUT)
+
     async def _read_all(self, may_be_stale: bool) -> StoreSnapshot | StoreFailure:
         changes: list[RevisedChange] = []
         revision: int | None = None
@@ -118,6 +124,8 @@
         exchange = Exchange(
             lambda now: data, lambda answer: True, deadline, False, done.callback
         )
+        if target.startswith(WATCH_PATH.encode()):
+            self._watching = exchange
         self._pool.send(exchange)
         withdraw: Callable[[], None] = lambda: self._pool.withdraw(  # noqa: E731
             exchange, ConnectionFailure.TIMED_OUT
