Take work off the path of each shard's answer

Change: parts are looked through after failures only, headers are encoded once, a plain test of the type in place of the dispatcher.

--- a/currantwharf/gateway/backend_wire.py
+++ b/currantwharf/gateway/backend_wire.py
@@ -11,7 +11,12 @@
 class BackendWire(Protocol):
     """Translate between requests and answers and their bytes."""
 
-    def encode(self, request: GatewayRequest, entry: ServerEntry, now: float) -> bytes:
+    def encode_head(self, request: GatewayRequest) -> bytes:
+        """Return what the requests to all servers have in common."""
+
+    def encode(
+        self, head: bytes, request: GatewayRequest, entry: ServerEntry, now: float
+    ) -> bytes:
         """Return the request to one server, with the time that is left."""
 
     def belongs(self, answer: HttpAnswer, request: GatewayRequest) -> bool:
--- a/currantwharf/gateway/calls.py
+++ b/currantwharf/gateway/calls.py
@@ -24,12 +24,13 @@
 class Call:
     """Hold one running call and its attempts under way."""
 
-    __slots__ = ("run", "on_result", "timer", "exchanges")
+    __slots__ = ("run", "head", "on_result", "timer", "exchanges")
 
     def __init__(
-        self, run: RunningCall, on_result: Callable[[CallResult], None]
+        self, run: RunningCall, head: bytes, on_result: Callable[[CallResult], None]
     ) -> None:
         self.run = run
+        self.head = head
         self.on_result = on_result
         self.timer: Any = None
         self.exchanges: dict[int, tuple[ServerEntry, Exchange]] = {}
@@ -70,7 +71,7 @@
         # Numbers are set aside for all sends that the call may make.
         self._attempts += RunningCall.most_attempts(len(services))
         run = RunningCall(request, route, services, self._chooser, first)
-        call = Call(run, on_result)
+        call = Call(run, self._wire.encode_head(request), on_result)
         self.running.add(call)
         self._do(call, run.start(now), now)
         self._plan_wake(call, now)
@@ -110,7 +111,7 @@
     def _send(self, call: Call, action: SendAttempt) -> None:
         request, entry, attempt = call.run.request, action.entry, action.attempt
         exchange = Exchange(
-            lambda now: self._wire.encode(request, entry, now),
+            lambda now: self._wire.encode(call.head, request, entry, now),
             lambda answer: self._wire.belongs(answer, request),
             request.deadline,
             not call.run.route.idempotent,
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -114,10 +114,12 @@
             part.answer = result
             part.arrived = True
             self._answered += 1
-        else:
-            self._on_failed(part, result)
-            if not self._may_answer(now):
-                self._send_again(part, result, now, actions)
+            if self._answered == len(self.parts):
+                return self._finish(actions)
+            return actions
+        self._on_failed(part, result)
+        if not self._may_answer(now):
+            self._send_again(part, result, now, actions)
         return self._finish_if_done(actions, now)
 
     def _is_final(self, answer: BackendAnswer) -> bool:
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Collection, Mapping
-from functools import singledispatchmethod
 
 from currantwharf.gateway.attempt_result import AttemptResult
 from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
@@ -137,24 +136,18 @@
         known = self._round_trips.get(data_centre, took_s)
         self._round_trips[data_centre] = min(known, took_s)
 
-    @singledispatchmethod
     def on_result(
         self, result: AttemptResult, entry: ServerEntry, attempt: int, now: float
     ) -> None:
         """Learn from the result of an attempt."""
-        raise NotImplementedError(type(result))
-
-    @on_result.register
-    def _(
-        self, result: ConnectionFailure, entry: ServerEntry, attempt: int, now: float
-    ) -> None:
-        if result is ConnectionFailure.NOT_SENT:
+        if isinstance(result, BackendAnswer):
+            self._on_answer(result, entry, attempt, now)
+        elif result is ConnectionFailure.NOT_SENT:
             self.evidence(entry).on_end(attempt)
         else:
             self.evidence(entry).on_failure(attempt, now)
 
-    @on_result.register
-    def _(
+    def _on_answer(
         self, result: BackendAnswer, entry: ServerEntry, attempt: int, now: float
     ) -> None:
         evidence = self.evidence(entry)
--- a/currantwharf/platform/backend_protocol.py
+++ b/currantwharf/platform/backend_protocol.py
@@ -13,17 +13,31 @@
 from currantwharf.platform import names
 
 REPLACED = frozenset({names.DEADLINE_MS, names.EXPECTED_SERVER, b"content-length"})
+WITH_LENGTH = frozenset({b"POST", b"PUT", b"PATCH"})  # also if there is no body
 ENCODED = b"content-encoding"  # callers ask for none, so it is not the server's body
 
 
 class PlatformBackendWire:
     """Translate requests and answers of backend servers."""
 
-    def encode(self, request: GatewayRequest, entry: ServerEntry, now: float) -> bytes:
+    def encode_head(self, request: GatewayRequest) -> bytes:
+        """Return the request line and the headers that all servers get alike."""
+        head = b"%s %s HTTP/1.1\r\n%s" % (
+            request.method,
+            request.target,
+            encode_headers(request.headers),
+        )
+        if request.body or request.method in WITH_LENGTH:
+            head += b"content-length: %d\r\n" % len(request.body)
+        return head
+
+    def encode(
+        self, head: bytes, request: GatewayRequest, entry: ServerEntry, now: float
+    ) -> bytes:
         """Return a request with the time that is left and the server it is for."""
         left_ms = max(1, int((request.deadline - now) * 1000))
         return b"%s%s: %d\r\n%s: %s\r\n\r\n%s" % (
-            _encoded_head(request),
+            head,
             names.DEADLINE_MS,
             left_ms,
             names.EXPECTED_SERVER,
@@ -54,17 +68,6 @@
     return tuple(h for h in end_to_end(headers) if h[0] not in REPLACED)
 
 
-def _encoded_head(request: GatewayRequest) -> bytes:
-    head = b"%s %s HTTP/1.1\r\n%s" % (
-        request.method,
-        request.target,
-        encode_headers(request.headers),
-    )
-    if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
-        head += b"content-length: %d\r\n" % len(request.body)
-    return head
-
-
 def _verdict(answer: HttpAnswer, signature: bytes) -> Verdict:
     if answer.status == 421:
         return Verdict.MISDIRECTED
--- a/currantwharf/platform/tests/test_backend_protocol.py
+++ b/currantwharf/platform/tests/test_backend_protocol.py
@@ -19,7 +19,9 @@
         return self.wire.read(HttpAnswer(status, headers, b"")).verdict
 
     def test_request_names_its_server_and_the_time_that_is_left(self):
-        data = self.wire.encode(make_request(), make_entry("i-1"), 0.25)
+        request = make_request()
+        head = self.wire.encode_head(request)
+        data = self.wire.encode(head, request, make_entry("i-1"), 0.25)
         head, _, body = data.partition(b"\r\n\r\n")
         lines = head.split(b"\r\n")
         self.assertEqual(lines[0], b"GET /lookup/x HTTP/1.1")
