--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -23,6 +23,7 @@
 from currantwharf.gateway.place import Place
 from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.registry_task import RegistryTask
+from currantwharf.gateway.relay import Relay
 from currantwharf.gateway.running_call import RunningCall
 from currantwharf.gateway.server_choice import ServerChooser
 from currantwharf.gateway.server_directory import ServerDirectory
@@ -104,6 +105,7 @@
             lambda losses: self.chooser.crashes.take_news(losses, clock.now()),
             rng,
         )
+        self.relay = Relay(reactor, clock, place, self.table)
         self.entry_point = EntryPoint(
             self.registry,
             self.calls,
--- a/currantwharf/gateway/place.py
+++ b/currantwharf/gateway/place.py
@@ -11,7 +11,8 @@
     """Hold the names and addresses of one instance.
 
     `regions` maps data centres to regions. `gossip_port` and `fetch_port` are those of
-    every instance; `seeds` are hosts of others that may be out of date.
+    every instance, and so is `relay_port`; `seeds` are hosts of others that may be out
+    of date. `cores` is the processor that the instance may use, in cores.
     """
 
     instance: str
@@ -22,3 +23,5 @@
     gossip_port: int
     fetch_port: int
     seeds: tuple[str, ...]
+    relay_port: int = 0
+    cores: float = 0.0
--- /dev/null
+++ b/currantwharf/gateway/relay.py
@@ -0,0 +1,129 @@
+"""Have queries run by a few instances of a data centre.
+
+In a large fleet each instance sees few queries, so that its connections to the backend
+servers grow cold between them, and it knows little of the servers. A few instances, the
+hubs, then run the queries of all; their connections stay open and their evidence is
+fresh. It costs a hop inside the data centre.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from currantwharf.gateway.gateway_request import GatewayRequest
+from currantwharf.gateway.place import Place
+from currantwharf.http1 import (
+    ConnectionFailure,
+    ConnectionPool,
+    Exchange,
+    HttpAnswer,
+)
+from currantwharf.peers.peer_table import PeerTable
+from currantwharf.runtime.clock import Clock
+
+BUSY_RATE = 2.0  # queries a second with which an instance keeps its own connections
+RATE_WINDOW_S = 5.0  # seconds over which queries are counted
+CONNECT_TIMEOUT_S = 0.1  # seconds; a hub is within a millisecond
+ACKNOWLEDGED_S = 0.06  # seconds in which a hub says that it has a query
+AVOID_S = 3.0  # seconds for which a hub that failed is not used
+MOST_CONNECTIONS = 16  # queries under way at one hub
+
+
+class Relay:
+    """Choose hubs, send queries to them, and notice those that fail."""
+
+    def __init__(
+        self, reactor: Any, clock: Clock, place: Place, table: PeerTable
+    ) -> None:
+        self._reactor = reactor
+        self._clock = clock
+        self._place = place
+        self._table = table
+        self._rng = random.Random(place.instance)
+        self._pools: dict[str, ConnectionPool] = {}
+        self._avoid: dict[str, float] = {}
+        self._rate = 0.0
+        self._rate_at = clock.now()
+
+    def hub(self, now: float) -> str | None:
+        """Return the host that runs the next query, or None for this instance."""
+        self._count(now)
+        if self._rate >= BUSY_RATE:
+            return None
+        hubs = self._table.hubs(now, self._place.cores)
+        if any(hub.name == self._table.name for hub in hubs):
+            return None
+        usable = [hub.host for hub in hubs if self._avoid.get(hub.host, 0.0) <= now]
+        return self._rng.choice(usable) if usable else None
+
+    def send(
+        self,
+        hub: str,
+        encode: Callable[[float], bytes],
+        request: GatewayRequest,
+        on_answer: Callable[[HttpAnswer | None], None],
+    ) -> Callable[[], None]:
+        """Send a query to a hub; return what withdraws it.
+
+        `on_answer` hears None if the hub failed or refused: the query is then this
+        instance's to run.
+        """
+        pool = self._pool(hub)
+        is_withdrawn = False
+
+        def done(result: HttpAnswer | ConnectionFailure) -> None:
+            for timer in timers:
+                if timer.active():
+                    timer.cancel()
+            if is_withdrawn:
+                return
+            if isinstance(result, ConnectionFailure):
+                self._avoid[hub] = self._clock.now() + AVOID_S
+                on_answer(None)
+            elif result.status == 503:
+                on_answer(None)
+            else:
+                on_answer(result)
+
+        def check() -> None:
+            if not exchange.is_acknowledged:
+                pool.withdraw(exchange, ConnectionFailure.TIMED_OUT)
+
+        def withdraw() -> None:
+            nonlocal is_withdrawn
+            is_withdrawn = True
+            pool.withdraw(exchange, ConnectionFailure.TIMED_OUT)
+
+        now = self._clock.now()
+        exchange = Exchange(encode, lambda answer: True, request.deadline, False, done)
+        timers = [
+            self._reactor.callLater(ACKNOWLEDGED_S, check),
+            self._reactor.callLater(
+                max(0.0, request.deadline - now),
+                pool.withdraw,
+                exchange,
+                ConnectionFailure.TIMED_OUT,
+            ),
+        ]
+        pool.send(exchange)
+        return withdraw
+
+    def _count(self, now: float) -> None:
+        """Count a query in a rate that fades."""
+        elapsed = now - self._rate_at
+        self._rate_at = now
+        self._rate *= max(0.0, 1 - elapsed / RATE_WINDOW_S)
+        self._rate += 1 / RATE_WINDOW_S
+
+    def _pool(self, hub: str) -> ConnectionPool:
+        pool = self._pools.get(hub)
+        if pool is None:
+            pool = ConnectionPool(
+                self._reactor,
+                self._clock.now,
+                (hub, self._place.relay_port),
+                MOST_CONNECTIONS,
+                connect_timeout_s=CONNECT_TIMEOUT_S,
+            )
+            self._pools[hub] = pool
+        return pool
--- a/currantwharf/http1/answer_reader.py
+++ b/currantwharf/http1/answer_reader.py
@@ -16,13 +16,14 @@
 
     `feed` returns the answers that are whole. `is_between` tells whether the bytes so
     far end where an answer ends, `ends_with_connection` whether the answer under way
-    has neither a length nor chunks.
+    has neither a length nor chunks, `saw_interim` whether an interim answer came.
     """
 
     def __init__(self, most_bytes: int) -> None:
         self.is_between = True
         self.ends_with_connection = False
         self.keep_alive = True
+        self.saw_interim = False
         self._most_bytes = most_bytes
         self._parser: Any = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
@@ -94,6 +95,8 @@
         """Finish the answer; interim ones are dropped."""
         self.is_between = True
         status = self._parser.get_status_code()
-        if status >= 200:
+        if status < 200:
+            self.saw_interim = True
+        else:
             answer = HttpAnswer(status, tuple(self._headers), b"".join(self._body))
             self._whole.append(answer)
--- a/currantwharf/http1/backend_connection.py
+++ b/currantwharf/http1/backend_connection.py
@@ -68,6 +68,7 @@
     def send(self, exchange: Exchange, now: float) -> None:
         """Write a request."""
         self.exchange = exchange
+        self._reader.saw_interim = False
         self.transport.write(exchange.encode(now))
 
     def abort(self, failure: ConnectionFailure) -> None:
@@ -93,6 +94,8 @@
                 self._take(answer)
             self.abort(ConnectionFailure.SPOILED)
             return
+        if self._reader.saw_interim and self.exchange is not None:
+            self.exchange.is_acknowledged = True
         for answer in answers:
             self._take(answer)
         if self.exchange is None and not self._reader.is_between:
--- a/currantwharf/http1/caller_connection.py
+++ b/currantwharf/http1/caller_connection.py
@@ -126,9 +126,12 @@
         round_trips = 2 if self._is_first else 1
         self._is_first = False
         way_s = round_trips * round_trip_s(self.transport)
-        self._responder = Responder(write, way_s)
+        self._responder = Responder(write, way_s, self._acknowledge)
         self._handle(item, self._responder)
 
+    def _acknowledge(self) -> None:
+        self.transport.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+
     def _answer(
         self,
         status: int,
--- a/currantwharf/http1/connection_pool.py
+++ b/currantwharf/http1/connection_pool.py
@@ -34,6 +34,7 @@
         most: int,
         on_connected: Callable[[float], None] = lambda took_s: None,
         on_unreachable: Callable[[], None] = lambda: None,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         self.most = most
         self._tell_connected = on_connected
@@ -41,7 +42,7 @@
         self._reactor = reactor
         self._clock = clock
         self._endpoint = TCP4ClientEndpoint(
-            reactor, *address, timeout=CONNECT_TIMEOUT_S
+            reactor, *address, timeout=connect_timeout_s
         )
         self._free: list[BackendConnection] = []
         self._open: set[BackendConnection] = set()
--- a/currantwharf/http1/exchange.py
+++ b/currantwharf/http1/exchange.py
@@ -13,10 +13,19 @@
 
     `encode` returns the bytes at the moment of writing, since they hold the time that
     is left. `belongs` tells whether an answer is one to this request. `deadline` is a
-    reading of the monotonic clock in seconds.
+    reading of the monotonic clock in seconds. `is_acknowledged` turns true with an
+    interim answer: the other end has the request.
     """
 
-    __slots__ = ("encode", "belongs", "deadline", "is_fresh_only", "is_done", "_tell")
+    __slots__ = (
+        "encode",
+        "belongs",
+        "deadline",
+        "is_fresh_only",
+        "is_done",
+        "is_acknowledged",
+        "_tell",
+    )
 
     def __init__(
         self,
@@ -31,6 +40,7 @@
         self.deadline = deadline
         self.is_fresh_only = is_fresh_only
         self.is_done = False
+        self.is_acknowledged = False
         self._tell = tell
 
     def finish(self, result: ExchangeResult) -> None:
--- a/currantwharf/http1/responder.py
+++ b/currantwharf/http1/responder.py
@@ -11,15 +11,18 @@
     `when_gone` registers what is called if the caller leaves before the answer.
     `way_s` is the time in seconds that the caller waits beside the time here: a round
     trip for the request and its answer, and one more if the connection is new.
+    `acknowledge` writes an interim answer.
     """
 
-    __slots__ = ("_write", "_on_gone", "_is_done", "way_s")
+    __slots__ = ("_write", "_on_gone", "_is_done", "way_s", "acknowledge")
 
     def __init__(
         self,
         write: Callable[[int, Iterable[Header], bytes], None],
         way_s: float = 0.0,
+        acknowledge: Callable[[], None] = lambda: None,
     ) -> None:
+        self.acknowledge = acknowledge
         self._write = write
         self._on_gone: Callable[[], None] | None = None
         self._is_done = False
--- a/currantwharf/peers/hello.py
+++ b/currantwharf/peers/hello.py
@@ -8,7 +8,7 @@
 class MemberNews(msgspec.Struct, frozen=True, array_like=True):
     """Tell of one instance; `age_s` is how long ago it was heard, in seconds.
 
-    `can_read` is what it said then of the store.
+    `can_read` and `is_serving` are what it said then; `cores` is its processor.
     """
 
     name: str
@@ -16,6 +16,8 @@
     data_centre: str
     age_s: float
     can_read: bool = True
+    is_serving: bool = False
+    cores: float = 0.0
 
 
 class LossNews(msgspec.Struct, frozen=True, array_like=True):
@@ -48,6 +50,7 @@
     losses: tuple[LossNews, ...] = ()
     events: StoreEvents | None = None
     wants_reply: bool = False
+    cores: float = 0.0
 
 
 _decoder = msgspec.msgpack.Decoder(Hello)
--- a/currantwharf/peers/peer_table.py
+++ b/currantwharf/peers/peer_table.py
@@ -4,11 +4,13 @@
 from dataclasses import dataclass, replace
 
 from currantwharf.peers.hello import Hello, MemberNews
-from currantwharf.policy.rendezvous import highest
+from currantwharf.policy.rendezvous import highest, score
 
 LIVE_S = 8.0  # seconds without a word after which an instance is no longer counted
 READER_S = 3.0  # seconds without a word after which another one reads the store
 FORGET_S = 60.0  # seconds after which a silent instance is not asked any more
+LEAST_FOR_HUBS = 6  # instances of a data centre; fewer keep their connections warm
+INSTANCES_FOR_A_HUB = 7  # instances near by for which one runs the queries
 NEWS = 4  # instances that one datagram tells of
 PEAK_S = 30.0  # seconds for which the largest fleet is remembered
 
@@ -23,6 +25,8 @@
     heard_at: float
     can_read: bool = True
     revision: int = 0
+    is_serving: bool = False
+    cores: float = 0.0
 
 
 class PeerTable:
@@ -48,6 +52,8 @@
             now,
             hello.can_read,
             hello.revision,
+            hello.is_serving,
+            hello.cores,
         )
         for news in hello.members:
             self._take_news(news, now)
@@ -67,6 +73,8 @@
                 peer.data_centre,
                 round(now - peer.heard_at, 2),
                 peer.can_read,
+                peer.is_serving,
+                peer.cores,
             )
             for peer in chosen
         )
@@ -98,6 +106,25 @@
         able = [name for name, able in live.items() if able]
         return highest(f"reader|{self._data_centre}", able or live)
 
+    def hubs(self, now: float, cores: float) -> list[Peer]:
+        """Return the instances near by that run queries for the others.
+
+        A small data centre has none. The strongest processors come first; `cores` is
+        this instance's, which is among them under its own name if it is a hub.
+        """
+        live = [
+            peer
+            for peer in self._peers.values()
+            if peer.data_centre == self._data_centre
+            and peer.is_serving
+            and now - peer.heard_at < LIVE_S
+        ]
+        live.append(Peer(self.name, "", self._data_centre, now, cores=cores))
+        if len(live) < LEAST_FOR_HUBS:
+            return []
+        live.sort(key=lambda p: (-round(p.cores, 1), score("hub", p.name)))
+        return live[: max(1, len(live) // INSTANCES_FOR_A_HUB)]
+
     def newest_revision(self) -> int:
         """Return the highest revision that any other instance has told of."""
         return max((peer.revision for peer in self._peers.values()), default=0)
@@ -126,11 +153,12 @@
         heard_at = now - max(0.0, news.age_s)
         known = self._peers.get(news.name)
         if known is None:
-            known = Peer(
-                news.name, news.host, news.data_centre, heard_at, news.can_read
-            )
-            self._peers[news.name] = known
-        elif known.heard_at < heard_at:
+            known = Peer(news.name, news.host, news.data_centre, heard_at)
+        if known.heard_at <= heard_at:
             self._peers[news.name] = replace(
-                known, heard_at=heard_at, can_read=news.can_read
+                known,
+                heard_at=heard_at,
+                can_read=news.can_read,
+                is_serving=news.is_serving,
+                cores=news.cores,
             )
--- a/currantwharf/peers/peer_task.py
+++ b/currantwharf/peers/peer_task.py
@@ -169,6 +169,7 @@
             self._losses(),
             self._inline(known_revision),
             wants_reply,
+            self._place.cores,
         )
         self.transport.write(encode_hello(hello), (host, self._place.gossip_port))
 
--- a/currantwharf/platform/caller_protocol.py
+++ b/currantwharf/platform/caller_protocol.py
@@ -1,6 +1,7 @@
 """The callers' interface on the platform's wire."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import xxhash
 
@@ -8,12 +9,21 @@
 from currantwharf.gateway.entry_point import EntryPoint, Refusal
 from currantwharf.gateway.gateway_request import GatewayRequest
 from currantwharf.gateway.merge_records import merge_records
+from currantwharf.gateway.overrun import Overrun
+from currantwharf.gateway.relay import Relay
 from currantwharf.gateway.route import Route
-from currantwharf.http1 import Header, HttpRequest, Responder
+from currantwharf.http1 import (
+    Header,
+    HttpAnswer,
+    HttpRequest,
+    Responder,
+    encode_request,
+    end_to_end,
+)
 from currantwharf.platform import names
 from currantwharf.platform.backend_protocol import forwarded_headers
 
-SPARE_S = 0.004  # seconds for this instance's own work before an answer leaves
+SPARE_S = 0.003  # seconds for this instance's own work before an answer leaves
 RETRY_SOON = (names.RETRY_AFTER, b"0.25")  # seconds; a configuration is read in less
 
 STATUS = {
@@ -26,10 +36,14 @@
 class CallerProtocol:
     """Translate callers' requests and the results of their calls."""
 
-    def __init__(self, entry_point: EntryPoint, clock: Callable[[], float]) -> None:
+    def __init__(
+        self, entry_point: EntryPoint, relay: Relay, clock: Callable[[], float]
+    ) -> None:
         self._entry_point = entry_point
+        self._relay = relay
         self._clock = clock
         self._longest_ms: dict[str, int] = {}
+        self._overrun = Overrun()
 
     def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Run a request and answer it."""
@@ -44,11 +58,64 @@
             responder.finish(400, (), b"the request has no id\n")
             return
         translated = self._translate(request, request_id, route, responder)
-        call = self._entry_point.run(
-            translated, route, lambda result: _answer(result, route, responder)
-        )
+        hub = self._relay.hub(self._clock()) if route.shards else None
+        if hub is None:
+            self._run(translated, route, responder)
+        else:
+            self._forward(hub, translated, route, responder)
+
+    def handle_relayed(self, request: HttpRequest, responder: Responder) -> None:
+        """Run a query that another instance has passed on, and say at once so."""
+        responder.acknowledge()
+        host = request.get(b"host") or b""
+        path = request.target.partition(b"?")[0]
+        route = self._entry_point.find(host, path)
+        if isinstance(route, Refusal):
+            _refuse(route, responder)
+            return
+        request_id = request.get(names.REQUEST_ID) or b""
+        translated = self._translate(request, request_id, route, responder)
+        left = request.get(names.TARGET_LEFT_MS) or b""
+        if left.lstrip(b"-").isdigit():
+            target_at = translated.arrived_at + int(left) / 1000 - responder.way_s
+            target_at -= self._overrun.spare_s()
+            translated = replace(translated, target_at=target_at)
+        self._run(translated, route, responder)
+
+    def _run(self, request: GatewayRequest, route: Route, responder: Responder) -> None:
+        def done(result: CallResult) -> None:
+            _answer(result, route, responder)
+            if result.answers and not result.coverage.whole:
+                self._overrun.learn(self._clock() - request.target_at)
+
+        call = self._entry_point.run(request, route, done)
         responder.when_gone(lambda: self._entry_point.leave(call))
 
+    def _forward(
+        self, hub: str, request: GatewayRequest, route: Route, responder: Responder
+    ) -> None:
+        """Have a query run by another instance, or by this one if that fails."""
+
+        def encode(now: float) -> bytes:
+            left_ms = max(1, int((request.deadline - now) * 1000))
+            target_ms = int((request.target_at - now) * 1000)
+            headers = (
+                *request.headers,
+                (names.DEADLINE_MS, b"%d" % left_ms),
+                (names.TARGET_LEFT_MS, b"%d" % target_ms),
+            )
+            return encode_request(request.method, request.target, headers, request.body)
+
+        def done(answer: HttpAnswer | None) -> None:
+            if answer is None:
+                self._run(request, route, responder)
+            else:
+                kept = tuple(h for h in answer.headers if h[0] != b"content-length")
+                responder.finish(answer.status, end_to_end(kept), answer.body)
+
+        withdraw = self._relay.send(hub, encode, request, done)
+        responder.when_gone(withdraw)
+
     def _translate(
         self,
         request: HttpRequest,
@@ -65,7 +132,7 @@
         longest_ms = max(left_ms, self._longest_ms.get(route.name, 0))
         self._longest_ms[route.name] = longest_ms
         spent_s = (longest_ms - left_ms) / 1000
-        way_s = responder.way_s + SPARE_S
+        way_s = responder.way_s + SPARE_S + self._overrun.spare_s()
         digest = xxhash.xxh3_64(request.target)
         digest.update(request.method)
         digest.update(request.body)
--- a/currantwharf/platform/names.py
+++ b/currantwharf/platform/names.py
@@ -11,6 +11,9 @@
 MISSING_PARTS = b"x-missing-parts"
 RETRY_AFTER = b"retry-after"
 
+# Between instances.
+TARGET_LEFT_MS = b"x-currantwharf-target-ms"  # left until the target of the class
+
 # Keys of the store.
 CONFIG_KEY = "op/config"
 OUT_PREFIX = "op/evacuate/"
--- a/currantwharf/platform/platform_instance.py
+++ b/currantwharf/platform/platform_instance.py
@@ -59,7 +59,9 @@
         self._reactor = reactor
         self._clock = clock
         self._metrics_port = metrics_port
-        self._callers = CallerProtocol(self.gateway.entry_point, clock.now)
+        self._callers = CallerProtocol(
+            self.gateway.entry_point, self.gateway.relay, clock.now
+        )
 
     def listen(self) -> None:
         """Open all ports, the callers' last; CannotListenError if one is taken."""
@@ -67,6 +69,8 @@
         metrics = (settings.place.host, self._metrics_port)
         self._listen(settings.peers, self._plain(gateway.peers.answer_fetch))
         self._listen(metrics, self._plain(self._answer_metrics))
+        relay = (settings.place.host, settings.place.relay_port)
+        self._listen(relay, self._plain(self._callers.handle_relayed))
         self._listen(settings.ready, self._plain(self._answer_ready))
         self._listen(settings.callers, self._caller_connection)
 
--- a/currantwharf/platform/platform_settings.py
+++ b/currantwharf/platform/platform_settings.py
@@ -41,6 +41,11 @@
     config_apply_ms: float = 4000.0
 
 
+class _Limits(msgspec.Struct, rename="kebab"):
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class _Store(msgspec.Struct):
     address: str
 
@@ -55,6 +60,7 @@
     port_range: tuple[int, int]
     platform: _Store
     seeds: list[str] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -109,6 +115,8 @@
         file.port_range[0],
         peers[1],
         tuple(dict.fromkeys(seeds)),
+        file.port_range[0] + 1,
+        file.limits.cpu_share * file.limits.cores,
     )
     return PlatformSettings(
         place,
