--- a/currantwharf/cli/__init__.py
+++ b/currantwharf/cli/__init__.py
@@ -12,6 +12,7 @@
     "check-targets": "currantwharf.cli.check_commands",
     "completion": "currantwharf.cli.completion_command",
     "demo": "currantwharf.cli.demo_command",
+    "explain": "currantwharf.cli.explain_command",
     "gateway": "currantwharf.cli.gateway_command",
     "make-site": "currantwharf.cli.standin_command",
     "query": "currantwharf.cli.query_command",
--- a/currantwharf/gateway/call_log.py
+++ b/currantwharf/gateway/call_log.py
@@ -1,8 +1,11 @@
 """Log the calls that an engineer may have to explain."""
 
+from currantwharf.gateway.attempt_result import AttemptResult
+from currantwharf.gateway.backend_answer import BackendAnswer
 from currantwharf.gateway.call_result import CallOutcome, CallResult
 from currantwharf.gateway.part_call import PartCall
 from currantwharf.gateway.running_call import RunningCall
+from currantwharf.gateway.server_entry import ServerEntry
 from currantwharf.runtime.part_log import part_log
 
 MOST_MISSING = 4  # parts without an answer that one line describes
@@ -55,6 +58,35 @@
         )
 
 
+def log_failed_attempt(
+    call: RunningCall,
+    attempt: int,
+    entry: ServerEntry,
+    result: AttemptResult,
+    now: float,
+) -> None:
+    """Note an attempt at a server that brought no success."""
+    if isinstance(result, BackendAnswer):
+        outcome: dict[str, object] = {
+            "result": result.verdict.value,
+            "status": result.status,
+        }
+    else:
+        outcome = {"result": result.value}
+    log.info(
+        "attempt failed",
+        extra={
+            "request_id": call.request.request_id,
+            "route": call.route.name,
+            "service": entry.service,
+            "server": entry.server,
+            "after_ms": _ms(now - call.request.arrived_at),
+            "attempt": attempt,
+            **outcome,
+        },
+    )
+
+
 def _describe(part: PartCall, now: float) -> dict[str, object]:
     return {
         "service": part.service,
--- a/currantwharf/gateway/calls.py
+++ b/currantwharf/gateway/calls.py
@@ -7,6 +7,7 @@
 from currantwharf.gateway.backend_answer import BackendAnswer
 from currantwharf.gateway.backend_wire import BackendWire
 from currantwharf.gateway.call_actions import CallAction, FinishCall, SendAttempt
+from currantwharf.gateway.call_log import log_failed_attempt
 from currantwharf.gateway.call_result import CallResult
 from currantwharf.gateway.gateway_request import GatewayRequest
 from currantwharf.gateway.route import Route
@@ -130,6 +131,8 @@
         known: AttemptResult
         known = self._wire.read(result) if isinstance(result, HttpAnswer) else result
         self._watch_for_crash(call, entry, known, now)
+        if not isinstance(known, BackendAnswer) or not known.is_success:
+            log_failed_attempt(call.run, attempt, entry, known, now)
         actions = call.run.take(attempt, known, now)
         if actions:
             self._do(call, actions, now)
--- a/currantwharf/gateway/entry_point.py
+++ b/currantwharf/gateway/entry_point.py
@@ -11,6 +11,7 @@
 from currantwharf.gateway.route import Route
 from currantwharf.gateway.weighted_turn import WeightedTurn
 from currantwharf.policy.coverage import Coverage
+from currantwharf.runtime.part_log import part_log
 
 
 class Refusal(StrEnum):
@@ -22,6 +23,8 @@
     RELEARNING = "relearning"  # the process was paused and knows nothing new yet
 
 
+log = part_log("entry")
+
 HELD_RETRY_S = 60.0  # seconds; a request that crashes servers had better not come back
 REFUSED_AS_HELD = CallResult(
     CallOutcome.NOT_RUN,
@@ -55,8 +58,22 @@
         self._is_relearning = is_relearning
         self._turns: dict[str, tuple[Route, WeightedTurn]] = {}
 
-    def find(self, host: bytes, path: bytes) -> Route | Refusal:
+    def find(self, host: bytes, path: bytes, request_id: str) -> Route | Refusal:
         """Return the route of a request, or why it is not taken."""
+        found = self._find(host, path)
+        if isinstance(found, Refusal):
+            config = self.registry.config
+            fields = {
+                "request_id": request_id,
+                "reason": found.value,
+                "config_version": config.version if config is not None else None,
+                "host": host.decode("latin-1"),
+                "path": path.decode("latin-1"),
+            }
+            log.info("refused", extra=fields)
+        return found
+
+    def _find(self, host: bytes, path: bytes) -> Route | Refusal:
         if not self.registry.is_known:
             return Refusal.NO_CONFIG
         if self._is_relearning():
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -16,6 +16,7 @@
 from currantwharf.gateway.call_metrics import CallMetrics
 from currantwharf.gateway.call_result import CallResult
 from currantwharf.gateway.calls import Calls
+from currantwharf.gateway.change_log import log_changes
 from currantwharf.gateway.changes import RevisedChange, ServerRemoved
 from currantwharf.gateway.entry_point import EntryPoint
 from currantwharf.gateway.gateway_limits import GatewayLimits
@@ -236,6 +237,7 @@
         self.peers.tell()
 
     def _on_news(self, news: list[RevisedChange]) -> None:
+        log_changes(news)
         for change in news:
             found = change.change
             if not isinstance(found, ServerRemoved):
--- /dev/null
+++ b/currantwharf/gateway/tests/test_relay.py
@@ -0,0 +1,98 @@
+import random
+import unittest
+
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+
+from currantwharf.gateway.place import Place
+from currantwharf.gateway.relay import ACKNOWLEDGED_S, AVOID_S, Relay
+from currantwharf.peers.hello import Hello
+from currantwharf.peers.peer_table import PeerTable
+from currantwharf.tests.gateway_builders import make_request
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
+REFUSAL = b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+INTERIM = b"HTTP/1.1 102 Processing\r\n\r\n"
+
+
+class RelayTests(unittest.TestCase):
+    def setUp(self):
+        self.reactor = MemoryReactorClock()
+        self.reactor.now = self.reactor.seconds
+        place = Place("me", "10.0.0.1", "a", "r", {"a": "r"}, 1, 2, (), 3, cores=0.5)
+        self.table = PeerTable("me", "a", random.Random(1))
+        for at in range(6):
+            self.table.take(self.hello(f"p{at}", cores=0.5 + (at == 3)), 0.0)
+        self.relay = Relay(self.reactor, self.reactor, place, self.table)
+        self.answers = []
+
+    def hello(self, name, serving=True, cores=1.0, data_centre="a"):
+        host = f"10.0.1.{name[1:]}"
+        return Hello(name, "b", host, data_centre, serving, True, 1, cores=cores)
+
+    def send(self):
+        return self.relay.send(
+            "10.0.1.3", lambda now: b"query", make_request(), self.answers.append
+        )
+
+    def connect(self):
+        protocol = self.reactor.tcpClients[-1][2].buildProtocol(None)
+        protocol.makeConnection(StringTransport())
+        return protocol
+
+    def test_strongest_instance_is_the_hub(self):
+        self.assertEqual(self.relay.hub(0.0), "10.0.1.3")
+
+    def test_small_data_centre_and_the_hub_itself_use_none(self):
+        small = PeerTable("me", "a", random.Random(1))
+        for at in range(4):
+            small.take(self.hello(f"p{at}"), 0.0)
+        self.assertEqual(small.hubs(0.0, 0.5), [])
+        hub = self.table.hubs(0.0, cores=9.0)
+        self.assertEqual([peer.name for peer in hub], ["me"])
+
+    def test_instance_that_does_not_serve_is_no_hub(self):
+        self.table.take(self.hello("p3", serving=False, cores=9.0), 0.1)
+        self.assertNotIn("p3", [p.name for p in self.table.hubs(0.1, 0.4)])
+
+    def test_busy_instance_keeps_its_own_connections(self):
+        hubs = [self.relay.hub(at / 10) for at in range(50)]
+        self.assertIsNotNone(hubs[0])
+        self.assertIsNone(hubs[-1])
+        for at in range(6):
+            self.table.take(self.hello(f"p{at}"), 60.0)
+        self.assertIsNotNone(self.relay.hub(60.0))
+
+    def test_answer_of_the_hub(self):
+        self.send()
+        self.connect().dataReceived(INTERIM + ANSWER)
+        self.assertEqual(self.answers[0].body, b"x")
+
+    def test_query_that_is_not_acknowledged_is_run_here_and_the_hub_avoided(self):
+        self.send()
+        self.connect()
+        self.reactor.advance(ACKNOWLEDGED_S + 0.01)
+        self.assertEqual(self.answers, [None])
+        self.assertIsNone(self.relay.hub(self.reactor.seconds()))
+        self.reactor.advance(AVOID_S)
+        self.assertIsNotNone(self.relay.hub(self.reactor.seconds()))
+
+    def test_acknowledged_query_is_waited_for(self):
+        self.send()
+        hub = self.connect()
+        hub.dataReceived(INTERIM)
+        self.reactor.advance(0.5)
+        self.assertEqual(self.answers, [])
+        hub.dataReceived(ANSWER)
+        self.assertEqual(self.answers[0].status, 200)
+
+    def test_refusal_of_the_hub_is_not_the_callers(self):
+        self.send()
+        self.connect().dataReceived(INTERIM + REFUSAL)
+        self.assertEqual(self.answers, [None])
+
+    def test_caller_that_leaves_ends_the_connection_to_the_hub(self):
+        withdraw = self.send()
+        hub = self.connect()
+        withdraw()
+        self.assertTrue(hub.transport.disconnected)
+        self.assertEqual(self.answers, [])
--- a/currantwharf/platform/caller_protocol.py
+++ b/currantwharf/platform/caller_protocol.py
@@ -49,11 +49,11 @@
         """Run a request and answer it."""
         host = request.get(b"host") or b""
         path = request.target.partition(b"?")[0]
-        route = self._entry_point.find(host, path)
+        request_id = request.get(names.REQUEST_ID)
+        route = self._entry_point.find(host, path, _text(request_id))
         if isinstance(route, Refusal):
             _refuse(route, responder)
             return
-        request_id = request.get(names.REQUEST_ID)
         if request_id is None or not request_id.isascii():
             responder.finish(400, (), b"the request has no id\n")
             return
@@ -69,11 +69,11 @@
         responder.acknowledge()
         host = request.get(b"host") or b""
         path = request.target.partition(b"?")[0]
-        route = self._entry_point.find(host, path)
+        request_id = request.get(names.REQUEST_ID) or b""
+        route = self._entry_point.find(host, path, _text(request_id))
         if isinstance(route, Refusal):
             _refuse(route, responder)
             return
-        request_id = request.get(names.REQUEST_ID) or b""
         translated = self._translate(request, request_id, route, responder)
         left = request.get(names.TARGET_LEFT_MS) or b""
         if left.lstrip(b"-").isdigit():
@@ -170,6 +170,10 @@
         responder.finish(answer.status, answer.headers, answer.body)
 
 
+def _text(value: bytes | None) -> str:
+    return (value or b"").decode("latin-1")
+
+
 def _refuse(refusal: Refusal, responder: Responder) -> None:
     if refusal is Refusal.NO_ROUTE:
         responder.finish(404, (), b"no route takes this request\n")
