Hedge while another server can still meet the target

Change: the last moment at which a far server can still answer in time is a reason to hedge too, if it lies beyond the time that the attempt is expected to take.

--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -22,6 +22,7 @@
 MOST_SENDS = 6  # sends of one part; rejections cost the budget as well
 LATE_PATIENCE = 0.5  # of the target that a late answer waits for its last parts
 LEAST_GAIN_S = 0.002  # seconds by which a hedge has to beat the target
+PATIENCE = 1.3  # times the expected latency before a server may be hedged at all
 RETRY_AFTER_S = 0.25  # seconds after which a refused caller may find a server
 
 
@@ -186,13 +187,24 @@
         part.sends += 1
         part.retry_at = None
         if self.route.idempotent and part.ran_on < self.route.most_servers:
-            part.hedge_at = now + self._chooser.slow_after_s(entry)
+            part.hedge_at = self._hedge_time(part, entry, now)
         else:
             part.hedge_at = None
         self._part_of[attempt] = part
         self._chooser.on_send(entry, attempt, now)
         actions.append(SendAttempt(attempt, entry, part.arrived))
 
+    def _hedge_time(self, part: PartCall, entry: ServerEntry, now: float) -> float:
+        """Return when an attempt is late, or is to be hedged to meet the target.
+
+        The last moment at which another server can still answer in time comes first
+        if it is after the time that the attempt is expected to take.
+        """
+        late_at = now + self._chooser.slow_after_s(entry)
+        last_chance = self.request.target_at - self._chooser.elsewhere_s(part.service)
+        expected_at = now + PATIENCE * self._chooser.expected_s(entry, now)
+        return min(late_at, max(last_chance, expected_at))
+
     def _hedge(self, part: PartCall, now: float, actions: list[CallAction]) -> None:
         part.hedge_at = None
         entry = self._chooser.choose(part.service, self.route, part.tried, now)
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -22,6 +22,7 @@
 SILENCE_S = 0.15  # seconds that a server which has fallen silent is expected to stay so
 EJECTED_S = 10.0  # seconds; ranks an ejected server behind any other
 COLD_FACTOR = 1.6  # times the usual work that a cold server takes
+ELSEWHERE_FACTOR = 2.0  # times the usual work that a hedge elsewhere may take
 JITTER = 0.1  # share by which equal servers are ranked apart
 BUDGET_SHARE = 0.85  # of the retry budget; the rest covers windows that differ
 
@@ -107,6 +108,11 @@
         usual = self._service(entry.service).slow_after_s()
         return min(evidence.slow_after_s(), self._round_trip_s(entry) + usual)
 
+    def elsewhere_s(self, service: str) -> float:
+        """Return the time that a far server of a service takes, with a margin."""
+        round_trip_s = max(self._round_trips.values(), default=FAR_S)
+        return round_trip_s + ELSEWHERE_FACTOR * self._service(service).work_s
+
     def begin(self, service: str, now: float) -> None:
         """Count a request for a service, on which its budget of repeats rests."""
         self._budget(service).add_sends(1, now)
--- a/currantwharf/gateway/tests/test_running_call.py
+++ b/currantwharf/gateway/tests/test_running_call.py
@@ -72,6 +72,27 @@
         )
         self.assertEqual(result.extras, 1)
 
+    def test_hedge_comes_while_another_server_can_still_meet_the_target(self):
+        for attempt in self.first.values():
+            self.call.take(attempt, make_answer(), 0.02)
+        evidence = self.chooser.evidence(self.entry("longan-near"))
+        evidence.samples, evidence.mean_s, evidence.deviation_s = 9, 0.02, 0.03
+        evidence.seen_at = 1.0
+        first = self.sends(self.call_again(target=0.15))
+        far_s = self.chooser.elsewhere_s("longan")
+        self.call.take(first["camphor-near"], make_answer(), 1.01)
+        wake_at = self.call.next_wake(1.0)
+        self.assertAlmostEqual(wake_at, 1.15 - far_s)
+        self.assertEqual(set(self.sends(self.call.wake(wake_at))), {"longan-far"})
+
+    def entry(self, server):
+        return self.chooser.directory.get(server)
+
+    def call_again(self, target):
+        request = make_request(now=1.0, target=target)
+        self.call = RunningCall(request, make_route(SHARDS), SHARDS, self.chooser, 99)
+        return self.call.start(1.0)
+
     def test_incomplete_answer_goes_out_at_the_target(self):
         self.call.take(self.first["camphor-near"], make_answer(), 0.01)
         result = self.result(self.call.wake(0.15))
