--- a/currantwharf/gateway/tests/test_running_call.py
+++ b/currantwharf/gateway/tests/test_running_call.py
@@ -78,11 +78,11 @@
         evidence = self.chooser.evidence(self.entry("longan-near"))
         evidence.samples, evidence.mean_s, evidence.deviation_s = 9, 0.02, 0.03
         evidence.seen_at = 1.0
-        first = self.sends(self.call_again(target=0.15))
+        first = self.sends(self.call_again(target=0.13))
         far_s = self.chooser.elsewhere_s("longan")
         self.call.take(first["camphor-near"], make_answer(), 1.01)
         wake_at = self.call.next_wake(1.0)
-        self.assertAlmostEqual(wake_at, 1.15 - far_s)
+        self.assertAlmostEqual(wake_at, 1.13 - far_s)
         self.assertEqual(set(self.sends(self.call.wake(wake_at))), {"longan-far"})
 
     def entry(self, server):
