Soak real gateways under faults from outside

Three gateways as processes of their own, stand-ins behind proxies that delay, cut one way, silence, forget and reset; signals that stop, kill, pause and reload; servers that fail, shed, leave; a store that is down or forgets. An oracle checks from both ends: one run of an order, true refusals, whole and own answers, true coverage, nothing unasked, recovery in 12 seconds.

--- a/currantwharf/standin/platform_site.py
+++ b/currantwharf/standin/platform_site.py
@@ -26,7 +26,11 @@
 
 @dataclass(slots=True)
 class PlatformSite:
-    """Run a store and two servers for each of `shards` shards and for orders."""
+    """Run a store and two servers for each of `shards` shards and for orders.
+
+    `proxied` returns the address to publish for one that was opened, which a soak uses
+    to put a proxy in between. `lookups` holds the ids of the lookups that were asked.
+    """
 
     reactor: Any
     shards: int = 4
@@ -34,13 +38,15 @@
     version: int = 1
     servers: dict[str, ShardServer] = field(default_factory=dict)
     ports: list[Any] = field(default_factory=list)
+    proxied: Callable[[str], str] = lambda address: address
+    lookups: set[str] = field(default_factory=set)
     store: MetadataStoreStandIn = field(init=False)
     store_address: str = ""
 
     def start(self) -> None:
         """Open all ports, publish the configuration and register the servers."""
         self.store = MetadataStoreStandIn(self.reactor)
-        self.store_address = self._listen(self.store.handle)
+        self.store_address = self.proxied(self._listen(self.store.handle))
         for service in (*self.shard_names(), ORDERS):
             for data_centre in DATA_CENTRES:
                 self._start_server(service, data_centre)
@@ -51,6 +57,10 @@
         for port in self.ports:
             port.stopListening()
 
+    def service_of(self, server: str) -> str:
+        """Return the service of a server."""
+        return self._entries[server][0]
+
     def shard_names(self) -> list[str]:
         """Return the names of the shards' services."""
         return [f"shard-{number}" for number in range(self.shards)]
@@ -131,9 +141,9 @@
 
     def _start_server(self, service: str, data_centre: str) -> None:
         name = f"i-{service}-{data_centre}"
-        server = ShardServer(self.reactor, name, 2, self.work_s, len(self.servers))
+        server = ShardServer(self.reactor, name, 2, self.work_s)
         self.servers[name] = server
-        address = self._listen(server.handle)
+        address = self.proxied(self._listen(server.handle))
         self._entries[name] = (service, data_centre, address)
         self.register(name)
 
--- a/currantwharf/standin/shard_server.py
+++ b/currantwharf/standin/shard_server.py
@@ -13,24 +13,28 @@
 RECORDS = 25  # records of one answer
 
 
+def answer_body(server: str, request_id: str) -> bytes:
+    """Return the records that a server answers a request with, always the same."""
+    seed = f"{server}|{request_id}"
+    return random.Random(seed).randbytes(RECORDS * RECORD_BYTES)
+
+
 class ShardServer:
     """Run requests in `slots` at a time and sign the answers.
 
-    `runs` holds the ids of all requests that began to run, and `arrived` those of all
-    that came, so that a test can tell what was asked of the server.
+    `runs` holds the ids of all requests that began to run, `arrived` those of all that
+    came and `arrived_at` their times, so that a test can tell what was asked of it.
     """
 
-    def __init__(
-        self, reactor: Any, server: str, slots: int, work_s: float, seed: int
-    ) -> None:
+    def __init__(self, reactor: Any, server: str, slots: int, work_s: float) -> None:
         self.server = server
         self.faults = ServerFaults()
         self.arrived: list[str] = []
+        self.arrived_at: list[float] = []
         self.runs: list[str] = []
         self._reactor = reactor
         self._slots = slots
         self._work_s = work_s
-        self._rng = random.Random(seed)
         self._busy = 0
         self._waiting: deque[tuple[HttpRequest, Responder]] = deque()
 
@@ -38,6 +42,7 @@
         """Take one request."""
         request_id = (request.get(names.REQUEST_ID) or b"").decode()
         self.arrived.append(request_id)
+        self.arrived_at.append(self._reactor.seconds())
         expected = request.get(names.EXPECTED_SERVER)
         if expected is not None and expected.decode() != self.server:
             responder.finish(421, self._headers(request, signed=False), b"")
@@ -62,8 +67,8 @@
         if self.faults.failing:
             responder.finish(500, headers, b"failed")
         else:
-            body = self._rng.randbytes(RECORDS * RECORD_BYTES)
-            responder.finish(200, headers, body)
+            request_id = (request.get(names.REQUEST_ID) or b"").decode()
+            responder.finish(200, headers, answer_body(self.server, request_id))
         self._start_next()
 
     def _headers(self, request: HttpRequest, signed: bool) -> tuple[Header, ...]:
--- /dev/null
+++ b/currantwharf/tests/soak/gateway_process.py
@@ -0,0 +1,41 @@
+"""A gateway as a process of its own, ended by its id alone."""
+
+import signal
+import subprocess
+import sys
+
+
+class GatewayProcess:
+    """Start, signal and restart one gateway; its log goes to a file."""
+
+    def __init__(self, settings, number):
+        self.settings = settings
+        self.host = f"127.0.0.{number + 1}"
+        self.log_path = settings.with_suffix(".log")
+        self.process = None
+        self.terminated_at = None
+        self.start()
+
+    def start(self):
+        command = [sys.executable, "-m", "currantwharf", "gateway", "--settings"]
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [*command, str(self.settings)], stdout=log, stderr=log
+            )
+        self.terminated_at = None
+
+    def is_running(self):
+        return self.process.poll() is None
+
+    def send(self, number):
+        if self.is_running():
+            self.process.send_signal(number)
+
+    def terminate(self, now):
+        self.terminated_at = now
+        self.send(signal.SIGTERM)
+
+    def end(self):
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        self.process.wait()
--- /dev/null
+++ b/currantwharf/tests/soak/soak.py
@@ -0,0 +1,283 @@
+"""Run a soak: real processes, faults from outside, promises checked meanwhile."""
+
+import random
+import signal
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+from twisted.internet import reactor
+
+from currantwharf.http1 import (
+    ConnectionFailure,
+    ConnectionPool,
+    Exchange,
+    HttpAnswer,
+    encode_request,
+)
+from currantwharf.runtime.clock import SystemClock
+from currantwharf.standin.platform_site import ORDERS, PlatformSite
+from currantwharf.tests.loopback import DidNotComeAboutError, run_for, run_until
+from currantwharf.tests.soak.fault_proxy import CALM, FAULTS, FaultProxy
+from currantwharf.tests.soak.gateway_process import GatewayProcess
+from currantwharf.tests.soak.soak_oracle import SoakOracle
+
+GATEWAYS = 3
+CALLERS = 12  # callers with a connection of their own
+PAUSE_S = 0.05  # seconds between two requests of a caller
+RECOVERY_S = 12.0  # seconds in which everything serves again
+SERVED_SHARE = 0.95  # of the requests after the recovery
+DRAIN_S = 4.0  # seconds after which a leaving server gets nothing
+
+
+class Soak:
+    """Hold the site, the processes and the faults of one seed."""
+
+    def __init__(self, seed, first_port, folder):
+        reactor.seconds = SystemClock().now
+        self.rng = random.Random(seed)
+        self.proxies = []
+        self.site = PlatformSite(reactor, proxied=self.put_proxy)
+        self.site.start()
+        self.oracle = SoakOracle(self.site)
+        self.first_port = first_port
+        self.events = []
+        self.sent = 0
+        self.leaving = {}
+        self.is_ending = False
+        self.gateways = []
+        for number in range(1, GATEWAYS + 1):
+            settings = self.site.write_settings(folder, number, first_port)
+            self.gateways.append(GatewayProcess(settings, number))
+        self.callers = [Caller(self, at) for at in range(CALLERS)]
+
+    def put_proxy(self, address):
+        proxy = FaultProxy(reactor, int(address.rpartition(":")[2]))
+        self.proxies.append(proxy)
+        return proxy.address
+
+    def run(self, seconds):
+        """Serve, inject faults for some seconds, mend everything and serve again."""
+        self.wait_until_served()
+        for caller in self.callers:
+            caller.next()
+        end = reactor.seconds() + seconds
+        while reactor.seconds() < end:
+            self.inject()
+            run_for(self.rng.uniform(0.1, 1.2))
+            self.restart_ended()
+        self.mend()
+        run_for(RECOVERY_S)
+        self.check_recovery()
+        self.is_ending = True
+        run_for(1.5)
+        self.oracle.on_end()
+        self.check_leaving()
+
+    def close(self):
+        """End everything that the soak started."""
+        self.is_ending = True
+        for gateway in self.gateways:
+            gateway.end()
+        for proxy in self.proxies:
+            proxy.reset()
+            proxy.port.stopListening()
+        self.site.stop()
+        run_for(0.1)
+
+    def wait_until_served(self):
+        answers = []
+
+        def ask():
+            caller = Caller(self, 0)
+            caller.ask("lookup", lambda answer: answers.append(answer))
+
+        def is_served():
+            if not answers or answers[-1] is None or answers[-1].status != 200:
+                if len(answers) == ask.count:
+                    ask.count += 1
+                    ask()
+                return False
+            return True
+
+        ask.count = 0
+        run_until(is_served, 20.0)
+
+    def inject(self):
+        """Inject one fault, or take one back."""
+        now = reactor.seconds()
+        gateway = self.rng.choice(self.gateways)
+        proxy = self.rng.choice(self.proxies)
+        server = self.rng.choice(list(self.site.servers))
+        faults = self.site.servers[server].faults
+        kind = self.rng.choice(KINDS)
+        self.events.append((round(now, 2), kind, gateway.host, server))
+        if kind == "term":
+            gateway.terminate(now)
+        elif kind == "kill":
+            gateway.send(signal.SIGKILL)
+        elif kind == "pause":
+            gateway.send(signal.SIGSTOP)
+            wake_s = self.rng.uniform(0.3, 3.0)
+            reactor.callLater(wake_s, gateway.send, signal.SIGCONT)
+        elif kind == "hup":
+            gateway.send(signal.SIGHUP)
+        elif kind == "proxy":
+            proxy.fault = self.rng.choice((CALM, *FAULTS))
+        elif kind == "reset":
+            proxy.reset()
+        elif kind == "forget":
+            proxy.forget()
+        elif kind == "server":
+            faults.slow = self.rng.choice((1.0, 1.0, 10.0))
+            faults.failing = self.rng.random() < 0.2
+            faults.shed = self.rng.random() < 0.2
+            faults.silent = self.rng.random() < 0.1
+        elif kind == "store":
+            self.site.store.fault = self.rng.choice((None, None, 503, 429, "silent"))
+        elif kind == "history":
+            self.site.store.forget_history()
+        elif kind == "config":
+            self.site.publish()
+        elif kind == "leave" and server.startswith(f"i-{ORDERS}") and not self.leaving:
+            self.site.register(server, state="draining")
+            self.leaving[server] = now
+        if kind in ("proxy", "store", "reset", "forget", "kill", "pause", "term"):
+            # Servers that leave while things fail may hear of it late.
+            self.leaving = dict.fromkeys(self.leaving)
+
+    def restart_ended(self):
+        for gateway in self.gateways:
+            if not gateway.is_running():
+                gateway.start()
+
+    def mend(self):
+        """Take every fault back; all processes run again."""
+        self.site.store.fault = None
+        for proxy in self.proxies:
+            proxy.fault = CALM
+            proxy.reset()
+        for name, server in self.site.servers.items():
+            server.faults.__init__()
+            self.site.register(name)
+        self.leaving = {}
+        for gateway in self.gateways:
+            gateway.send(signal.SIGCONT)
+        run_for(0.5)
+        self.restart_ended()
+
+    def check_recovery(self):
+        """Check that nearly every request is served again."""
+        before = Counter(self.oracle.outcomes)
+        run_for(3.0)
+        self.restart_ended()
+        after = self.oracle.outcomes - before
+        served = sum(n for name, n in after.items() if name.endswith(" 200"))
+        if served < SERVED_SHARE * max(1, after.total()):
+            self.oracle.violations.append(f"not recovered: {dict(after)}")
+
+    def check_leaving(self):
+        """Check that a server that left in calm got nothing after its time."""
+        for name, since in self.leaving.items():
+            late = [at for at in self.site.servers[name].arrived_at if at > since]
+            if since is not None and any(at > since + DRAIN_S for at in late):
+                self.oracle.violations.append(f"{name}: requests after it left")
+
+
+KINDS = (
+    "term",
+    "kill",
+    "pause",
+    "hup",
+    "proxy",
+    "proxy",
+    "reset",
+    "forget",
+    "server",
+    "server",
+    "store",
+    "history",
+    "config",
+    "leave",
+)
+
+
+class Caller:
+    """One caller that keeps its connection as long as it may."""
+
+    def __init__(self, soak, number):
+        self.soak = soak
+        self.number = number
+        self.pool = None
+
+    def next(self):
+        """Send the next request, and go on when it is answered."""
+        if self.soak.is_ending:
+            return
+        kind = "order" if self.soak.rng.random() < 0.3 else "lookup"
+        self.ask(kind, self.go_on)
+
+    def go_on(self, answer):
+        if answer is None or answer.get(b"connection") == b"close":
+            self.pool = None
+        reactor.callLater(PAUSE_S, self.next)
+
+    def ask(self, kind, on_answer):
+        soak = self.soak
+        soak.sent += 1
+        request_id = f"{kind}-{soak.sent}"
+        if kind == "lookup":
+            soak.site.lookups.add(request_id)
+        else:
+            soak.oracle.orders[request_id] = None
+        data = encode_request(
+            b"GET" if kind == "lookup" else b"POST",
+            f"/{kind}/{request_id}".encode(),
+            (
+                (b"host", b"search.example"),
+                (b"x-request-id", request_id.encode()),
+                (b"x-deadline-ms", b"1000"),
+            ),
+            b"" if kind == "lookup" else b"one",
+        )
+
+        def done(result: HttpAnswer | ConnectionFailure):
+            answer = result if isinstance(result, HttpAnswer) else None
+            check = soak.oracle.on_lookup if kind == "lookup" else soak.oracle.on_order
+            check(request_id, answer)
+            timer.active() and timer.cancel()
+            on_answer(answer)
+
+        if self.pool is None:
+            host = soak.rng.choice(soak.gateways).host
+            address = (host, soak.first_port)
+            self.pool = ConnectionPool(reactor, reactor.seconds, address, 1)
+        exchange = Exchange(
+            lambda now: data, lambda answer: True, reactor.seconds() + 3, False, done
+        )
+        pool = self.pool
+        timer = reactor.callLater(
+            3.0, lambda: pool.withdraw(exchange, ConnectionFailure.TIMED_OUT)
+        )
+        pool.send(exchange)
+
+
+def run_soak(seed, seconds, first_port, keep_in=None):
+    """Run one seed and return its violations, outcomes and events."""
+    folder = tempfile.TemporaryDirectory()
+    soak = Soak(seed, first_port, Path(folder.name))
+    try:
+        soak.run(seconds)
+    except DidNotComeAboutError:
+        soak.oracle.violations.append("never served")
+    finally:
+        soak.close()
+        if soak.oracle.violations and keep_in is not None:
+            keep_in.mkdir(parents=True, exist_ok=True)
+            for gateway in soak.gateways:
+                target = keep_in / f"seed-{seed}-{gateway.host}.log"
+                target.write_bytes(gateway.log_path.read_bytes())
+            events = "\n".join(map(str, soak.events))
+            (keep_in / f"seed-{seed}.events").write_text(events)
+        folder.cleanup()
+    return soak.oracle.violations, soak.oracle.outcomes, soak.events
