--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: install demo test binary
+.PHONY: install demo gateway-demo test binary
 
 VENV := .venv
 PYTHON ?= python3.11
@@ -16,6 +16,9 @@
 	sh tools/run_site.sh $(RUN) examples/kuo-hsing-small/site.yaml \
 	  $(RUN)/currantwharf demo examples/kuo-hsing-small/demo.yaml
 
+gateway-demo: install
+	$(RUN)/currantwharf gateway-demo
+
 test: install
 	bash .ci/check $(RUN)
 
--- a/currantwharf/cli/__init__.py
+++ b/currantwharf/cli/__init__.py
@@ -14,6 +14,7 @@
     "demo": "currantwharf.cli.demo_command",
     "explain": "currantwharf.cli.explain_command",
     "gateway": "currantwharf.cli.gateway_command",
+    "gateway-demo": "currantwharf.cli.gateway_demo_command",
     "make-site": "currantwharf.cli.standin_command",
     "query": "currantwharf.cli.query_command",
     "serve": "currantwharf.cli.serve_command",
--- /dev/null
+++ b/currantwharf/demo/gateway_demo.py
@@ -0,0 +1,105 @@
+"""Show the gateway on loopback: a stand-in platform, three instances, some requests."""
+
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import deferLater
+
+from currantwharf.http1 import (
+    ConnectionFailure,
+    ConnectionPool,
+    Exchange,
+    HttpAnswer,
+    encode_request,
+)
+from currantwharf.platform.platform_instance import PlatformInstance
+from currantwharf.platform.platform_settings import load_platform_settings
+from currantwharf.standin.platform_site import PlatformSite
+
+INSTANCES = 3
+FIRST_PORT = 19600
+SETTLE_S = 2.0  # seconds until the instances know each other and all servers
+LOST_SHARD = "i-shard-0-"
+
+
+class GatewayDemo:
+    """Run the stand-ins and the instances in one process, and ask them."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._site = PlatformSite(reactor)
+        self._asked = 0
+
+    async def run(self) -> None:
+        """Serve sample requests, lose a shard, take a data centre out."""
+        self._site.start()
+        with tempfile.TemporaryDirectory() as folder:
+            for number in range(1, INSTANCES + 1):
+                path = self._site.write_settings(Path(folder), number, FIRST_PORT)
+                settings = load_platform_settings(path).unwrap()
+                instance = PlatformInstance(settings, self._reactor, 0)
+                instance.listen()
+                instance.start()
+        await self._wait(SETTLE_S)
+        await self._show("a lookup over four shards", "GET", "/lookup/longan")
+        await self._show("an order", "POST", "/order/camphor-block")
+        for name, server in self._site.servers.items():
+            server.faults.silent = name.startswith(LOST_SHARD)
+        await self._show("a lookup, one shard silent", "GET", "/lookup/acacia")
+        for server in self._site.servers.values():
+            server.faults.silent = False
+        self._site.store.put("op/evacuate/taipei-a", {})
+        await self._wait(SETTLE_S)
+        await self._show("a lookup, a data centre out", "GET", "/lookup/camphor")
+        await self._show("a route that is not there", "GET", "/nowhere/")
+
+    async def _show(self, what: str, method: str, path: str) -> None:
+        began_at = self._reactor.seconds()
+        answer = await self._ask(method, path)
+        took_ms = (self._reactor.seconds() - began_at) * 1000
+        if isinstance(answer, ConnectionFailure):
+            click.echo(f"{what:32} {answer}")
+            return
+        missing = answer.get(b"x-missing-parts")
+        note = f", {int(missing)} parts missing" if missing is not None else ""
+        click.echo(f"{what:32} {answer.status} in {took_ms:.1f} ms{note}")
+
+    def _ask(
+        self, method: str, path: str
+    ) -> "Deferred[HttpAnswer | ConnectionFailure]":
+        self._asked += 1
+        headers = (
+            (b"host", b"search.example"),
+            (b"x-request-id", b"demo-%d" % self._asked),
+            (b"x-deadline-ms", b"1000"),
+        )
+        data = encode_request(method.encode(), path.encode(), headers)
+        done: Deferred[HttpAnswer | ConnectionFailure] = Deferred()
+        host = f"127.0.0.{2 + self._asked % INSTANCES}"
+        pool = ConnectionPool(
+            self._reactor, self._reactor.seconds, (host, FIRST_PORT), 1
+        )
+        deadline = self._reactor.seconds() + 5
+        tell: Callable[..., None] = done.callback
+        pool.send(Exchange(lambda now: data, lambda a: True, deadline, False, tell))
+        return done
+
+    def _wait(self, seconds: float) -> "Deferred[None]":
+        return deferLater(self._reactor, seconds, lambda: None)
+
+
+def run_gateway_demo(reactor: Any) -> None:
+    """Run the demo until it has shown everything."""
+    demo = GatewayDemo(reactor)
+
+    def begin() -> None:
+        done = ensureDeferred(demo.run())
+        done.addBoth(lambda result: (reactor.stop(), result)[1])
+        done.addErrback(lambda failure: click.echo(failure.getErrorMessage(), err=True))
+
+    reactor.callWhenRunning(begin)
+    reactor.run()
