Check the store more often while it fails any instance

Change: a check in 1.2 s in calm, one in 0.5 s for 12 s after the store has failed any instance, which hellos and hearsay tell.

--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -91,6 +91,7 @@
             self._on_store_news,
             lambda: self.peers.tell(ALL_NEAR, 0),
             lambda: self.table.size(clock.now()),
+            self._is_store_in_trouble,
             rng,
         )
         self.peers = PeerTask(
@@ -228,6 +229,10 @@
         heard_at = max(self.peers.heard_at, self.reader.heard_at)
         return heard_at <= self._paused_at
 
+    def _is_store_in_trouble(self) -> bool:
+        now = self._clock.now()
+        return not self.reader.can_read or self.table.is_store_in_trouble(now)
+
     def _is_current(self) -> bool:
         """Return whether what is known of the configuration is the newest."""
         return self.reader.is_store_up or self.table.is_hearing(self._clock.now())
--- a/currantwharf/gateway/registry_task.py
+++ b/currantwharf/gateway/registry_task.py
@@ -17,8 +17,10 @@
 READER_CHECK_S = 0.25  # seconds between two looks at who reads the store
 DOUBT_S = 3.0  # seconds after a failure in which another instance had better read
 DEAF_S = 0.8  # seconds that a watch may be behind the changes that others know of
-SPOT_CHECK_S = 2.0  # seconds between two spot checks of the fleet; half of what a
+SPOT_CHECK_S = 1.2  # seconds between two spot checks of the fleet; a third of what a
 # configuration may take to be in force
+ALERT_CHECK_S = 0.5  # seconds between two while the store fails any instance
+SPOT_LOOKS = 3  # times in a check's period that an instance decides whether it checks
 FIRST_WAIT_S = 0.1  # seconds before a call is made again after a failure
 LONGEST_WAIT_S = 0.8  # seconds; a store that is back is read well within a second
 
@@ -44,6 +46,7 @@
         on_news: Callable[[list[RevisedChange]], None],
         on_doubt: Callable[[], None],
         fleet_size: Callable[[], int],
+        is_alert: Callable[[], bool],
         rng: random.Random,
     ) -> None:
         self.heard_at = -1e9
@@ -56,6 +59,7 @@
         self._on_news = on_news
         self._on_doubt = on_doubt
         self._fleet_size = fleet_size
+        self._is_alert = is_alert
         self._watched_from = 0
         self._rng = rng
         self._failures = 0
@@ -157,11 +161,16 @@
     async def _run_spot_checks(self) -> None:
         """Ask now and then whether there is anything that the readers did not hear.
 
-        All instances together make one such call in `SPOT_CHECK_S` seconds.
+        All instances together make one such call in `SPOT_CHECK_S` seconds, and more
+        while the store fails any of them: then every watch may have gone deaf.
         """
         while True:
-            wait_s = SPOT_CHECK_S * self._fleet_size() * self._rng.uniform(0.5, 1.5)
-            await self._wait(wait_s)
+            await self._wait(self._rng.expovariate(SPOT_LOOKS / SPOT_CHECK_S))
+            share = 1 / (SPOT_LOOKS * self._fleet_size())
+            if self._is_alert():
+                share *= SPOT_CHECK_S / ALERT_CHECK_S
+            if self._rng.random() > share:
+                continue
             if self._is_watching or not self._registry.is_known:
                 continue
             found = await self._store.watch(self._registry.revision, 0.0)
--- a/currantwharf/gateway/tests/test_registry_task.py
+++ b/currantwharf/gateway/tests/test_registry_task.py
@@ -7,7 +7,12 @@
 from currantwharf.gateway.changes import StoreEvents, StoreSnapshot
 from currantwharf.gateway.metadata_store import StoreFailure
 from currantwharf.gateway.registry import Registry
-from currantwharf.gateway.registry_task import PACE_S, SPOT_CHECK_S, RegistryTask
+from currantwharf.gateway.registry_task import (
+    ALERT_CHECK_S,
+    PACE_S,
+    SPOT_CHECK_S,
+    RegistryTask,
+)
 from currantwharf.tests.gateway_builders import (
     config_change,
     make_chooser,
@@ -48,6 +53,7 @@
         self.news = []
         self.is_reader = True
         self.doubts = []
+        self.is_alert = False
         chooser = make_chooser([])
         self.registry = Registry(chooser.directory, chooser)
         self.task = RegistryTask(
@@ -59,6 +65,7 @@
             self.news.extend,
             lambda: self.doubts.append(True),
             lambda: 4,
+            lambda: self.is_alert,
             random.Random(1),
         )
         self.task.start()
@@ -151,3 +158,16 @@
                 calls += 1
                 self.store.answer("watch 10", StoreEvents((), 10, 10))
         self.assertLessEqual(calls * 4, 1.5 * 80 / SPOT_CHECK_S)
+        self.assertGreater(calls, 0)
+
+    def test_gaps_between_checks_are_short_while_the_store_is_in_trouble(self):
+        self.is_reader = False
+        self.is_alert = True
+        self.read()
+        calls = 0
+        for _ in range(800):
+            self.clock.advance(0.1)
+            while self.store.calls:
+                calls += 1
+                self.store.answer("watch 10", StoreEvents((), 10, 10))
+        self.assertGreater(calls * 4, 0.6 * 80 / ALERT_CHECK_S)
--- a/currantwharf/peers/peer_table.py
+++ b/currantwharf/peers/peer_table.py
@@ -11,6 +11,7 @@
 FORGET_S = 60.0  # seconds after which a silent instance is not asked any more
 LEAST_FOR_HUBS = 6  # instances of a data centre; fewer keep their connections warm
 INSTANCES_FOR_A_HUB = 7  # instances near by for which one runs the queries
+TROUBLE_S = 12.0  # seconds after a failure of the store in which it is not trusted
 NEWS = 4  # instances that one datagram tells of
 PEAK_S = 30.0  # seconds for which the largest fleet is remembered
 
@@ -39,12 +40,15 @@
         self._peers: dict[str, Peer] = {}
         self._peak = 1
         self._peak_at = 0.0
+        self._trouble_at = -TROUBLE_S
 
     def take(self, hello: Hello, now: float) -> bool:
         """Note a hello; return whether its sender was unknown."""
         if hello.name == self.name:
             return False
         is_new = hello.name not in self._peers
+        if not hello.can_read:
+            self._trouble_at = now
         self._peers[hello.name] = Peer(
             hello.name,
             hello.host,
@@ -125,6 +129,10 @@
         live.sort(key=lambda p: (-round(p.cores, 1), score("hub", p.name)))
         return live[: max(1, len(live) // INSTANCES_FOR_A_HUB)]
 
+    def is_store_in_trouble(self, now: float) -> bool:
+        """Return whether the store has failed any instance in the last while."""
+        return now - self._trouble_at < TROUBLE_S
+
     def newest_revision(self) -> int:
         """Return the highest revision that any other instance has told of."""
         return max((peer.revision for peer in self._peers.values()), default=0)
@@ -151,6 +159,8 @@
         if news.name == self.name:
             return
         heard_at = now - max(0.0, news.age_s)
+        if not news.can_read:
+            self._trouble_at = max(self._trouble_at, heard_at)
         known = self._peers.get(news.name)
         if known is None:
             known = Peer(news.name, news.host, news.data_centre, heard_at)
--- a/currantwharf/peers/tests/test_peer_table.py
+++ b/currantwharf/peers/tests/test_peer_table.py
@@ -72,3 +72,10 @@
         news = (MemberNews(reader, "h", "a", 0.1, False),)
         self.table.take(hello(other, members=news), 1.0)
         self.assertNotEqual(self.table.reader(1.0, can_read=False), reader)
+
+    def test_trouble_of_any_instance_is_remembered_for_a_while(self):
+        self.assertFalse(self.table.is_store_in_trouble(0.0))
+        news = (MemberNews("y", "h", "b", 1.0, False),)
+        self.table.take(hello("x", members=news), 5.0)
+        self.assertTrue(self.table.is_store_in_trouble(6.0))
+        self.assertFalse(self.table.is_store_in_trouble(17.0))
