Send nothing more for a caller who has left

Reading showed that a call whose caller had left still took failures of its attempts and sent them again; with lost answers at the same time such a repeat went out after the withdrawal and was never cancelled.

Change: a call whose caller left sends nothing more.

Test: failed before, with two requests sent.

--- a/currantwharf/gateway/calls.py
+++ b/currantwharf/gateway/calls.py
@@ -83,6 +83,7 @@
         if call not in self.running:
             return
         self._end(call)
+        call.run.abandon()
         if call.run.route.idempotent and call.exchanges:
             self._reactor.callLater(LEAVE_S, self._withdraw_all, call)
 
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -97,6 +97,10 @@
                 self._hedge(part, now, actions)
         return self._finish_if_done(actions, now)
 
+    def abandon(self) -> None:
+        """Send nothing more: the caller has left."""
+        self.is_finished = True
+
     def give_up(self) -> list[CallAction]:
         """Answer with what is there: the instance is about to end."""
         return [] if self.is_finished else self._finish([])
--- /dev/null
+++ b/currantwharf/gateway/tests/test_calls.py
@@ -0,0 +1,99 @@
+import unittest
+
+from twisted.internet.task import Clock
+
+from currantwharf.gateway.calls import LEAVE_S, OVERDUE_S, Calls
+from currantwharf.http1 import ConnectionFailure, HttpAnswer
+from currantwharf.platform.backend_protocol import PlatformBackendWire
+from currantwharf.tests.gateway_builders import (
+    FAR,
+    make_chooser,
+    make_entry,
+    make_request,
+    make_route,
+)
+
+
+class FakePools:
+    """Stand for the pools and for each pool; hold what was sent and withdrawn."""
+
+    def __init__(self):
+        self.sent = []
+        self.withdrawn = []
+
+    def get(self, entry):
+        return self
+
+    def send(self, exchange):
+        self.sent.append(exchange)
+
+    def withdraw(self, exchange, failure):
+        self.withdrawn.append(exchange)
+        exchange.finish(failure)
+
+    def prepare(self):
+        pass
+
+
+class CallsTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.clock.now = self.clock.seconds
+        self.pools = FakePools()
+        self.results = []
+        entries = [make_entry("near"), make_entry("far", data_centre=FAR)]
+        self.calls = Calls(
+            self.clock,
+            self.clock,
+            make_chooser(entries),
+            self.pools,
+            PlatformBackendWire(),
+            lambda run, result, now: None,
+        )
+
+    def start(self, idempotent=True):
+        route = make_route(idempotent=idempotent)
+        return self.calls.start(
+            make_request(), route, ("camphor",), self.results.append
+        )
+
+    def answer(self, body=b"x"):
+        headers = ((b"x-server-stamp", b"s"), (b"x-request-id", b"r1"))
+        return HttpAnswer(200, headers, body)
+
+    def test_answer_is_told_once(self):
+        self.start()
+        self.pools.sent[0].finish(self.answer())
+        self.pools.sent[0].finish(self.answer())
+        self.assertEqual(len(self.results), 1)
+        self.assertEqual(self.calls.running, set())
+
+    def test_work_for_a_caller_who_left_is_withdrawn_soon(self):
+        call = self.start()
+        self.calls.leave(call)
+        self.clock.advance(LEAVE_S - 0.01)
+        self.assertEqual(self.pools.withdrawn, [])
+        self.clock.advance(0.02)
+        self.assertEqual(self.pools.withdrawn, self.pools.sent)
+        self.assertEqual(self.results, [])
+
+    def test_nothing_more_is_sent_for_a_caller_who_left(self):
+        call = self.start()
+        self.calls.leave(call)
+        self.pools.sent[0].finish(ConnectionFailure.BROKEN)
+        self.clock.advance(2.0)
+        self.assertEqual(len(self.pools.sent), 1)
+        self.assertEqual(self.results, [])
+
+    def test_order_of_a_caller_who_left_ends_by_itself(self):
+        call = self.start(idempotent=False)
+        self.calls.leave(call)
+        self.clock.advance(0.9)
+        self.assertEqual(self.pools.withdrawn, [])
+
+    def test_attempt_past_its_deadline_is_given_up(self):
+        self.start()
+        self.clock.advance(1.0 + OVERDUE_S + 0.1)
+        self.calls.sweep(self.clock.seconds())
+        self.assertEqual(len(self.results), 1)
+        self.assertEqual(self.pools.withdrawn, self.pools.sent)
