--- /dev/null
+++ b/tools/gateway_slopes.py
@@ -0,0 +1,124 @@
+"""Measure how the parts of a gateway grow, for docs/CAPACITY.md.
+
+Each series is printed as its points and a straight line through them.
+"""
+
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import click
+
+from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
+from currantwharf.gateway.call_actions import SendAttempt
+from currantwharf.gateway.changes import RevisedChange, ServerChanged, StoreSnapshot
+from currantwharf.gateway.gateway_limits import GatewayLimits
+from currantwharf.gateway.gateway_request import GatewayRequest
+from currantwharf.gateway.registry import Registry
+from currantwharf.gateway.route import Route
+from currantwharf.gateway.running_call import RunningCall
+from currantwharf.gateway.server_choice import ServerChooser
+from currantwharf.gateway.server_directory import ServerDirectory
+from currantwharf.gateway.server_entry import ServerEntry
+from currantwharf.peers.hello import Hello, decode_hello, encode_hello
+from currantwharf.peers.peer_table import PeerTable
+
+RUNS = 9  # of each point; the median counts
+SHARDS = (10, 50, 200, 500)
+SERVERS = (100, 400, 1000, 2900)
+INSTANCES = (9, 85, 300, 710)
+ANSWER = BackendAnswer(Verdict.ANSWERED, 200, (), b"x" * 400, b"signature")
+
+
+def make_registry(shards: int, replicas: int = 3) -> tuple[Registry, ServerChooser]:
+    """Return a registry that knows some servers, and its chooser."""
+    directory = ServerDirectory()
+    chooser = ServerChooser(
+        directory, GatewayLimits(0.2, 1e6), "r", {"a": "r"}, random.Random(1)
+    )
+    registry = Registry(directory, chooser)
+    changes = tuple(
+        RevisedChange(1, ServerChanged(make_entry(shard, replica)))
+        for shard in range(shards)
+        for replica in range(replicas)
+    )
+    registry.take_snapshot(StoreSnapshot(changes, 1), 0.0)
+    return registry, chooser
+
+
+def make_entry(shard: int, replica: int) -> ServerEntry:
+    """Return the registration of one server."""
+    name = f"i-{shard:05}-{replica}"
+    return ServerEntry(name, f"s{shard}", ("10.0.0.1", 80), "a", 2)
+
+
+def time_call(shards: int) -> float:
+    """Return the microseconds that the decisions of one query take."""
+    _, chooser = make_registry(shards)
+    services = tuple(f"s{shard}" for shard in range(shards))
+    route = Route("r", b"h", b"/", True, 1.0, 0.3, 0, (), services, 2, 20, 0.9)
+    request = GatewayRequest("r", b"GET", b"/", (), b"", "f", 0.0, 1.0, 0.3)
+
+    def run() -> None:
+        call = RunningCall(request, route, services, chooser, 0)
+        for action in call.start(0.0):
+            if isinstance(action, SendAttempt):
+                call.take(action.attempt, ANSWER, 0.01)
+
+    return median_us(run)
+
+
+def time_hello(instances: int) -> float:
+    """Return the microseconds to make, encode, decode and take in one hello."""
+    table = PeerTable("me", "a", random.Random(1))
+    for at in range(instances):
+        table.take(Hello(f"i{at}", "b", f"10.0.0.{at}", "a", True, True, 1), 0.0)
+
+    def run() -> None:
+        hello = Hello("i1", "b", "h", "a", True, True, 1, table.news(0.0))
+        found = decode_hello(encode_hello(hello))
+        assert found is not None
+        table.take(found, 0.0)
+        table.reader(0.0, True)
+        table.hubs(0.0, 1.0)
+
+    return median_us(run)
+
+
+def registry_kb(servers: int) -> float:
+    """Return the kilobytes that the registrations of some servers take."""
+    tracemalloc.start()
+    kept = make_registry(servers // 3)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert kept
+    return size / 1000
+
+
+def median_us(run: Callable[[], None]) -> float:
+    """Return the median time of a run in microseconds of processor time."""
+    times = []
+    for _ in range(RUNS):
+        began_at = time.process_time()
+        run()
+        times.append((time.process_time() - began_at) * 1e6)
+    return statistics.median(times)
+
+
+def main() -> None:
+    """Measure and print every series."""
+    for name, unit, sizes, measure in (
+        ("decisions of a query", "us", SHARDS, time_call),
+        ("a hello, made and taken in", "us", INSTANCES, time_hello),
+        ("registrations", "kB", SERVERS, registry_kb),
+    ):
+        points = {size: measure(size) for size in sizes}
+        slope, start = statistics.linear_regression(list(points), points.values())
+        text = ", ".join(f"{size}: {value:.1f}" for size, value in points.items())
+        click.echo(f"| {name} | {text} | {slope:.3g} {unit} each, from {start:.3g} |")
+
+
+if __name__ == "__main__":
+    main()
