Split what grew, drop what nothing uses

Changes, settings and documents have files of their own; what a call comes to is in call_outcome; the time of a hedge is the chooser's. Names that nothing used are gone, and the window of a budget is the platform's.

--- a/currantwharf/gateway/call_result.py
+++ b/currantwharf/gateway/call_result.py
@@ -20,11 +20,9 @@
     """Tell why a request has no answer."""
 
     NONE = "none"
-    NO_CONFIG = "no_config"
     NO_SERVER = "no_server"
     OVERLOADED = "overloaded"
     HELD = "held"
-    STOPPING = "stopping"
     SERVER_LOST = "server_lost"
     SERVER_FAILED = "server_failed"
     COVERAGE_TOO_LOW = "coverage_too_low"
--- a/currantwharf/gateway/change_log.py
+++ b/currantwharf/gateway/change_log.py
@@ -2,10 +2,10 @@
 
 from functools import singledispatch
 
-from currantwharf.gateway.changes import (
+from currantwharf.gateway.changes import RevisedChange
+from currantwharf.gateway.store_change import (
     ConfigChanged,
     DataCentreChanged,
-    RevisedChange,
     ServerChanged,
     ServerRemoved,
 )
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -17,7 +17,7 @@
 from currantwharf.gateway.call_result import CallResult
 from currantwharf.gateway.calls import Calls
 from currantwharf.gateway.change_log import log_changes
-from currantwharf.gateway.changes import RevisedChange, ServerRemoved
+from currantwharf.gateway.changes import RevisedChange
 from currantwharf.gateway.entry_point import EntryPoint
 from currantwharf.gateway.gateway_limits import GatewayLimits
 from currantwharf.gateway.metadata_store import MetadataStore
@@ -29,6 +29,7 @@
 from currantwharf.gateway.server_choice import ServerChooser
 from currantwharf.gateway.server_directory import ServerDirectory
 from currantwharf.gateway.server_pools import ServerPools
+from currantwharf.gateway.store_change import ServerRemoved
 from currantwharf.http1 import CallerConnection, RequestLimits
 from currantwharf.peers.peer_table import PeerTable
 from currantwharf.peers.peer_task import PeerTask
--- a/currantwharf/gateway/gateway_limits.py
+++ b/currantwharf/gateway/gateway_limits.py
@@ -10,7 +10,7 @@
     For each service and window of `repeat_window_s` seconds, `repeat_ratio` of its
     requests and `repeat_slack` more may be sent again. `fleet_guess` is the number of
     instances that is assumed until the fleet is known. `grace_s` bounds a graceful
-    stop in seconds, `apply_s` is the time in which a configuration is in force.
+    stop in seconds.
     """
 
     repeat_ratio: float = 0.2
@@ -18,4 +18,3 @@
     repeat_window_s: float = 10.0
     fleet_guess: int = 12
     grace_s: float = 6.0
-    apply_s: float = 4.0
--- a/currantwharf/gateway/ineligible.py
+++ b/currantwharf/gateway/ineligible.py
@@ -7,9 +7,7 @@
     """Name what keeps a server from a request."""
 
     LEAVING = "leaving"
-    GONE = "gone"
     DATA_CENTRE_OUT = "data_centre_out"
     REGION_NOT_ALLOWED = "region_not_allowed"
     ADDRESS_REUSED = "address_reused"
-    COLD = "cold"
     TRIED = "tried"
--- a/currantwharf/gateway/registry.py
+++ b/currantwharf/gateway/registry.py
@@ -3,20 +3,18 @@
 from collections import deque
 from functools import singledispatchmethod
 
-from currantwharf.gateway.changes import (
+from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
+from currantwharf.gateway.gateway_config import GatewayConfig
+from currantwharf.gateway.route_table import RouteTable
+from currantwharf.gateway.server_choice import ServerChooser
+from currantwharf.gateway.server_directory import ServerDirectory
+from currantwharf.gateway.store_change import (
     ConfigChanged,
     DataCentreChanged,
-    RevisedChange,
     ServerChanged,
     ServerRemoved,
     StoreChange,
-    StoreEvents,
-    StoreSnapshot,
 )
-from currantwharf.gateway.gateway_config import GatewayConfig
-from currantwharf.gateway.route_table import RouteTable
-from currantwharf.gateway.server_choice import ServerChooser
-from currantwharf.gateway.server_directory import ServerDirectory
 
 LOG_LENGTH = 4_000  # changes that peers can be told one by one
 AWAY_S = 3.0  # seconds after an outage in which ended registrations may come back
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -8,6 +8,12 @@
 from currantwharf.gateway.attempt_result import AttemptResult
 from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
 from currantwharf.gateway.call_actions import CallAction, FinishCall, SendAttempt
+from currantwharf.gateway.call_outcome import (
+    did_not_run,
+    merged_result,
+    reason_of,
+    relayed_result,
+)
 from currantwharf.gateway.call_result import CallOutcome, CallReason, CallResult
 from currantwharf.gateway.gateway_request import GatewayRequest
 from currantwharf.gateway.part_call import PartAttempt, PartCall
@@ -22,7 +28,6 @@
 MOST_SENDS = 6  # sends of one part; rejections cost the budget as well
 LATE_PATIENCE = 0.5  # of the target that a late answer waits for its last parts
 LEAST_GAIN_S = 0.002  # seconds by which a hedge has to beat the target
-PATIENCE = 1.3  # times the expected latency before a server may be hedged at all
 RETRY_AFTER_S = 0.25  # seconds after which a refused caller may find a server
 
 
@@ -72,12 +77,10 @@
                 if now < at < wake_at:
                     wake_at = at
         for part in self.parts:
-            if part.answer is not None:
-                continue
-            if part.hedge_at is not None and part.hedge_at < wake_at:
-                wake_at = part.hedge_at
-            if part.retry_at is not None and part.retry_at < wake_at:
-                wake_at = part.retry_at
+            if part.answer is None:
+                for due_at in (part.hedge_at, part.retry_at):
+                    if due_at is not None and due_at < wake_at:
+                        wake_at = due_at
         return wake_at
 
     def wake(self, now: float) -> list[CallAction]:
@@ -123,7 +126,7 @@
                 return self._finish(actions)
             return actions
         self._on_failed(part, result)
-        if not self._may_answer(now):
+        if now < self.request.deadline and not self._may_answer(now):
             self._send_again(part, result, now, actions)
         return self._finish_if_done(actions, now)
 
@@ -133,12 +136,12 @@
         return answer.verdict is Verdict.ANSWERED
 
     def _on_failed(self, part: PartCall, result: AttemptResult) -> None:
-        if _did_not_run(result):
+        if did_not_run(result):
             part.ran_on -= 1
         if not isinstance(result, ConnectionFailure) or result.was_sent:
             part.arrived = True
         if isinstance(result, BackendAnswer):
-            self._last_reason = _reason_of(result)
+            self._last_reason = reason_of(result)
             if result.verdict is Verdict.FAILED:
                 part.failure = result
         elif result.was_sent:
@@ -154,15 +157,13 @@
         if part.attempts:
             return
         part.hedge_at = None
-        if _did_not_run(result) or self.route.idempotent:
+        if did_not_run(result) or self.route.idempotent:
             self._send(part, now, actions)
 
     def _send(self, part: PartCall, now: float, actions: list[CallAction]) -> None:
         """Send a part to the best server that has not got it, if it may be sent."""
         if part.ran_on >= self.route.most_servers or part.sends >= MOST_SENDS:
             return
-        if now >= self.request.deadline:
-            return
         entry = self._chooser.choose(part.service, self.route, part.tried, now)
         if entry is None:
             part.why_not_again = RepeatRefusal.NO_SERVER
@@ -191,24 +192,14 @@
         part.sends += 1
         part.retry_at = None
         if self.route.idempotent and part.ran_on < self.route.most_servers:
-            part.hedge_at = self._hedge_time(part, entry, now)
+            target_at = self.request.target_at
+            part.hedge_at = self._chooser.hedge_time(entry, target_at, now)
         else:
             part.hedge_at = None
         self._part_of[attempt] = part
         self._chooser.on_send(entry, attempt, now)
         actions.append(SendAttempt(attempt, entry, part.arrived))
 
-    def _hedge_time(self, part: PartCall, entry: ServerEntry, now: float) -> float:
-        """Return when an attempt is late, or is to be hedged to meet the target.
-
-        The last moment at which another server can still answer in time comes first
-        if it is after the time that the attempt is expected to take.
-        """
-        late_at = now + self._chooser.slow_after_s(entry)
-        last_chance = self.request.target_at - self._chooser.elsewhere_s(part.service)
-        expected_at = now + PATIENCE * self._chooser.expected_s(entry, now)
-        return min(late_at, max(last_chance, expected_at))
-
     def _hedge(self, part: PartCall, now: float, actions: list[CallAction]) -> None:
         part.hedge_at = None
         entry = self._chooser.choose(part.service, self.route, part.tried, now)
@@ -254,8 +245,6 @@
     def _finish_if_done(
         self, actions: list[CallAction], now: float
     ) -> list[CallAction]:
-        if self.is_finished:
-            return actions
         if self._answered == len(self.parts) or self._may_answer(now):
             return self._finish(actions)
         if not any(part.is_open for part in self.parts):
@@ -271,55 +260,18 @@
 
     def _finish(self, actions: list[CallAction]) -> list[CallAction]:
         self.is_finished = True
-        result = self._merged() if self._merges else self._relayed()
-        return [*actions, FinishCall(result)]
-
-    def _merged(self) -> CallResult:
-        answers = tuple(part.answer for part in self.parts if part.answer is not None)
-        if answers and self._coverage_is_enough():
-            return self._result(CallOutcome.ANSWERED, CallReason.NONE, answers)
-        if not any(part.ran_on > 0 or part.answer for part in self.parts):
-            return self._result(CallOutcome.NOT_RUN, self._last_reason)
-        return self._result(CallOutcome.TIMED_OUT, CallReason.COVERAGE_TOO_LOW)
-
-    def _relayed(self) -> CallResult:
-        (part,) = self.parts
-        answer = part.answer or part.failure
-        if answer is not None:
-            return self._result(CallOutcome.ANSWERED, CallReason.NONE, (answer,))
-        if part.ran_on <= 0:
-            return self._result(CallOutcome.NOT_RUN, self._last_reason)
-        if part.attempts:
-            return self._result(CallOutcome.TIMED_OUT, CallReason.TIMEOUT)
-        return self._result(CallOutcome.UNKNOWN, self._last_reason)
-
-    def _result(
-        self,
-        outcome: CallOutcome,
-        reason: CallReason,
-        answers: tuple[BackendAnswer, ...] = (),
-    ) -> CallResult:
-        retry_after = RETRY_AFTER_S if outcome is CallOutcome.NOT_RUN else 0.0
-        return CallResult(
+        build = merged_result if self._merges else relayed_result
+        outcome, reason, answers = build(
+            self.parts, self._last_reason, self._coverage_is_enough()
+        )
+        retry_after_s = RETRY_AFTER_S if outcome is CallOutcome.NOT_RUN else 0.0
+        result = CallResult(
             outcome,
             reason,
             answers,
             self._coverage(),
             self.sends,
             self.extras,
-            retry_after,
+            retry_after_s,
         )
-
-
-def _did_not_run(result: AttemptResult) -> bool:
-    if isinstance(result, ConnectionFailure):
-        return not result.was_sent
-    return result.verdict in (Verdict.REJECTED, Verdict.MISDIRECTED)
-
-
-def _reason_of(answer: BackendAnswer) -> CallReason:
-    if answer.verdict is Verdict.REJECTED:
-        return CallReason.OVERLOADED
-    if answer.verdict is Verdict.MISDIRECTED:
-        return CallReason.NO_SERVER
-    return CallReason.SERVER_FAILED
+        return [*actions, FinishCall(result)]
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -23,6 +23,7 @@
 EJECTED_S = 10.0  # seconds; ranks an ejected server behind any other
 COLD_FACTOR = 1.6  # times the usual work that a cold server takes
 ELSEWHERE_FACTOR = 2.0  # times the usual work that a hedge elsewhere may take
+PATIENCE = 1.3  # times the expected latency before a server may be hedged at all
 JITTER = 0.1  # share by which equal servers are ranked apart
 BUDGET_SHARE = 0.85  # of the retry budget; the rest covers windows that differ
 
@@ -108,6 +109,17 @@
         usual = self._service(entry.service).slow_after_s()
         return min(evidence.slow_after_s(), self._round_trip_s(entry) + usual)
 
+    def hedge_time(self, entry: ServerEntry, target_at: float, now: float) -> float:
+        """Return when an attempt is late, or is to be hedged to meet the target.
+
+        The last moment at which another server can still answer in time comes first
+        if it is after the time that the attempt is expected to take.
+        """
+        late_at = now + self.slow_after_s(entry)
+        last_chance = target_at - self.elsewhere_s(entry.service)
+        expected_at = now + PATIENCE * self.expected_s(entry, now)
+        return min(late_at, max(last_chance, expected_at))
+
     def elsewhere_s(self, service: str) -> float:
         """Return the time that a far server of a service takes, with a margin."""
         round_trip_s = max(self._round_trips.values(), default=FAR_S)
@@ -215,7 +227,7 @@
         budget = self._budgets.get(service)
         if budget is None:
             share = self._limits.repeat_ratio * BUDGET_SHARE
-            budget = ExtraBudget(share, self._allowance())
+            budget = ExtraBudget(share, self._allowance(), self._limits.repeat_window_s)
             self._budgets[service] = budget
         return budget
 
--- a/currantwharf/gateway/tests/test_registry.py
+++ b/currantwharf/gateway/tests/test_registry.py
@@ -1,14 +1,9 @@
 import unittest
 
-from currantwharf.gateway.changes import (
-    DataCentreChanged,
-    RevisedChange,
-    ServerRemoved,
-    StoreEvents,
-    StoreSnapshot,
-)
+from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
 from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.server_directory import RETURN_S
+from currantwharf.gateway.store_change import DataCentreChanged, ServerRemoved
 from currantwharf.tests.gateway_builders import (
     config_change,
     make_chooser,
--- a/currantwharf/platform/decode_store.py
+++ b/currantwharf/platform/decode_store.py
@@ -6,28 +6,27 @@
 import msgspec
 from result import Err, Ok, Result
 
-from currantwharf.gateway.changes import (
+from currantwharf.gateway.changes import RevisedChange
+from currantwharf.gateway.gateway_config import GatewayConfig
+from currantwharf.gateway.route import Route, WeightedService
+from currantwharf.gateway.server_entry import ServerEntry
+from currantwharf.gateway.service import Service
+from currantwharf.gateway.store_change import (
     ConfigChanged,
     DataCentreChanged,
-    RevisedChange,
     ServerChanged,
     ServerRemoved,
     StoreChange,
 )
-from currantwharf.gateway.gateway_config import GatewayConfig
-from currantwharf.gateway.route import Route, WeightedService
-from currantwharf.gateway.server_entry import ServerEntry
-from currantwharf.gateway.service import Service
 from currantwharf.http1 import RequestLimits
 from currantwharf.platform import names
-from currantwharf.platform.platform_settings import BadAddressError, parse_address
-from currantwharf.platform.store_documents import (
+from currantwharf.platform.address import BadAddressError, parse_address
+from currantwharf.platform.config_documents import (
     ConfigDocument,
-    ItemDocument,
     RouteDocument,
-    ServerDocument,
     ServiceDocument,
 )
+from currantwharf.platform.store_documents import ItemDocument, ServerDocument
 from currantwharf.runtime.part_log import part_log
 
 STATES = {"ready": False, "draining": True}  # state of a server: whether it leaves
--- a/currantwharf/platform/platform_instance.py
+++ b/currantwharf/platform/platform_instance.py
@@ -13,10 +13,10 @@
 
 from currantwharf.gateway.gateway import Gateway
 from currantwharf.http1 import CallerConnection, HttpRequest, RequestLimits, Responder
+from currantwharf.platform.address import Address
 from currantwharf.platform.backend_protocol import PlatformBackendWire
 from currantwharf.platform.caller_protocol import CallerProtocol
 from currantwharf.platform.platform_settings import (
-    Address,
     PlatformSettings,
     load_platform_settings,
 )
--- a/currantwharf/platform/store_client.py
+++ b/currantwharf/platform/store_client.py
@@ -16,9 +16,9 @@
     HttpAnswer,
     encode_request,
 )
+from currantwharf.platform.address import Address
 from currantwharf.platform.decode_store import decode_item
 from currantwharf.platform.names import RANGE_PATH, WATCH_PATH
-from currantwharf.platform.platform_settings import Address
 from currantwharf.platform.store_documents import (
     ItemDocument,
     RangeDocument,
--- a/currantwharf/platform/tests/test_decode_store.py
+++ b/currantwharf/platform/tests/test_decode_store.py
@@ -2,13 +2,13 @@
 import json
 import unittest
 
-from currantwharf.gateway.changes import (
+from currantwharf.gateway.route import WeightedService
+from currantwharf.gateway.store_change import (
     ConfigChanged,
     DataCentreChanged,
     ServerChanged,
     ServerRemoved,
 )
-from currantwharf.gateway.route import WeightedService
 from currantwharf.platform.decode_store import decode_item
 from currantwharf.platform.store_documents import ItemDocument
 
--- a/currantwharf/platform/tests/test_platform_settings.py
+++ b/currantwharf/platform/tests/test_platform_settings.py
@@ -36,7 +36,7 @@
         self.assertEqual(found.place.fetch_port, 8106)
         self.assertEqual(found.callers, ("10.1.0.9", 8104))
         self.assertEqual(found.limits.repeat_slack, 58)
-        self.assertEqual(found.limits.apply_s, 4.0)
+        self.assertEqual(found.limits.grace_s, 6.0)
 
     def test_files_that_are_not_valid(self):
         for text in (
--- a/currantwharf/policy/extra_budget.py
+++ b/currantwharf/policy/extra_budget.py
@@ -12,7 +12,7 @@
     Both counts are kept for slots of a second. An extra send is allowed only when the
     window's extra sends, with it, stay within the share, so a slow fleet can't be
     made slower by hedging. `allowance` is a number of extra sends in each window that
-    is allowed besides.
+    is allowed besides; a window lasts `window_s` seconds.
 
     >>> budget = ExtraBudget(0.05)
     >>> budget.add_sends(20, 0.0)
@@ -20,9 +20,12 @@
     (True, False)
     """
 
-    def __init__(self, share: float, allowance: float = 0.0) -> None:
+    def __init__(
+        self, share: float, allowance: float = 0.0, window_s: float = WINDOW_S
+    ) -> None:
         self.share = share
         self.allowance = allowance
+        self._window_s = window_s
         self._slots: deque[tuple[int, int, int]] = deque()
         self._sends = 0
         self._extras = 0
@@ -56,7 +59,7 @@
         self._extras += extras
 
     def _drop_old(self, now: float) -> None:
-        oldest = int((now - WINDOW_S) / SLOT_S)
+        oldest = int((now - self._window_s) / SLOT_S)
         while self._slots and self._slots[0][0] <= oldest:
             _, sends, extras = self._slots.popleft()
             self._sends -= sends
--- a/currantwharf/tests/gateway_builders.py
+++ b/currantwharf/tests/gateway_builders.py
@@ -3,7 +3,7 @@
 import random
 
 from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
-from currantwharf.gateway.changes import ConfigChanged, RevisedChange, ServerChanged
+from currantwharf.gateway.changes import RevisedChange
 from currantwharf.gateway.gateway_config import GatewayConfig
 from currantwharf.gateway.gateway_limits import GatewayLimits
 from currantwharf.gateway.gateway_request import GatewayRequest
@@ -12,6 +12,7 @@
 from currantwharf.gateway.server_directory import ServerDirectory
 from currantwharf.gateway.server_entry import ServerEntry
 from currantwharf.gateway.service import Service
+from currantwharf.gateway.store_change import ConfigChanged, ServerChanged
 
 REGIONS = {"taipei-a": "taipei", "taichung-a": "taichung"}
 NEAR, FAR = "taipei-a", "taichung-a"
--- a/tools/gateway_slopes.py
+++ b/tools/gateway_slopes.py
@@ -13,7 +13,7 @@
 
 from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
 from currantwharf.gateway.call_actions import SendAttempt
-from currantwharf.gateway.changes import RevisedChange, ServerChanged, StoreSnapshot
+from currantwharf.gateway.changes import RevisedChange, StoreSnapshot
 from currantwharf.gateway.gateway_limits import GatewayLimits
 from currantwharf.gateway.gateway_request import GatewayRequest
 from currantwharf.gateway.registry import Registry
@@ -22,6 +22,7 @@
 from currantwharf.gateway.server_choice import ServerChooser
 from currantwharf.gateway.server_directory import ServerDirectory
 from currantwharf.gateway.server_entry import ServerEntry
+from currantwharf.gateway.store_change import ServerChanged
 from currantwharf.peers.hello import Hello, decode_hello, encode_hello
 from currantwharf.peers.peer_table import PeerTable
 
