--- a/currantwharf/platform/caller_protocol.py
+++ b/currantwharf/platform/caller_protocol.py
@@ -127,6 +127,7 @@
         timeout_ms = int(route.timeout_s * 1000)
         value = request.get(names.DEADLINE_MS)
         left_ms = int(value) if value is not None and value.isdigit() else timeout_ms
+        # The last answer, be it a failure, still has to reach a caller who waits.
         # What a caller's first attempt may take is the most that was seen; a later
         # attempt has less left, and its target counts from the first.
         longest_ms = max(left_ms, self._longest_ms.get(route.name, 0))
@@ -144,7 +145,7 @@
             request.body,
             digest.hexdigest(),
             now,
-            now + min(left_ms / 1000, route.timeout_s),
+            now + min(left_ms / 1000 - way_s, route.timeout_s),
             now + route.target_s - spent_s - way_s,
         )
 
