Keep reading the store after a fault in reading it

Cause: found by reading: an answer that no code foresaw would have ended the loop that reads the store, without a line.

Change: the loop logs the fault and begins anew.

Test: failed before.

--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -39,6 +39,7 @@
 
 SWEEP_S = 0.25  # seconds between two looks at what is overdue
 BALANCER_S = 2.6  # seconds until a balancer that checks each second has missed two
+LAST_WRITE_S = 0.05  # seconds in which the last answers are written
 MARGIN_S = 0.35  # seconds kept from the time in which the process has to end
 ALL_NEAR = 4  # instances near by that hear at once that another one had better read
 RELEARN_S = 1.5  # seconds after a pause in which an answer of a peer is waited for
@@ -195,7 +196,7 @@
             self._sweep.stop()
             if self._on_stopped is not None:
                 # The last answers are still to be written.
-                self._reactor.callLater(0.05, self._on_stopped)
+                self._reactor.callLater(LAST_WRITE_S, self._on_stopped)
 
     def _set_share(self, share: float) -> None:
         """Take the part of the fleet's budgets that this instance may spend."""
--- a/currantwharf/gateway/registry_task.py
+++ b/currantwharf/gateway/registry_task.py
@@ -1,10 +1,11 @@
 """Keep the registry up to date from the platform's store."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.python.failure import Failure
 
 from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
 from currantwharf.gateway.metadata_store import MetadataStore, StoreFailure
@@ -70,8 +71,17 @@
 
     def start(self) -> None:
         """Begin to read."""
-        ensureDeferred(self._run())
-        ensureDeferred(self._run_spot_checks())
+        self._keep_running(self._run)
+        self._keep_running(self._run_spot_checks)
+
+    def _keep_running(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run a loop that never ends, and begin it anew if a fault ends it."""
+
+        def begin_anew(failure: Failure) -> None:
+            log.error("reading failed", extra={"why": failure.getErrorMessage()})
+            self._reactor.callLater(LONGEST_WAIT_S, self._keep_running, run)
+
+        ensureDeferred(run()).addErrback(begin_anew)
 
     def note_newest(self, revision: int) -> None:
         """Compare a watch with the newest revision that peers have told of.
@@ -96,7 +106,7 @@
         return self._clock.now() >= self._doubt_until
 
     async def _run(self) -> None:
-        needs_all = True
+        needs_all = not self._registry.is_known
         while True:
             if needs_all:
                 needs_all = not await self._read_all()
--- a/currantwharf/gateway/tests/test_registry_task.py
+++ b/currantwharf/gateway/tests/test_registry_task.py
@@ -171,3 +171,10 @@
                 calls += 1
                 self.store.answer("watch 10", StoreEvents((), 10, 10))
         self.assertGreater(calls * 4, 0.6 * 80 / ALERT_CHECK_S)
+
+    def test_fault_in_reading_does_not_end_it(self):
+        self.read()
+        with self.assertLogs("currantwharf", "ERROR"):
+            self.store.answer("watch 10", "not an answer")
+        self.clock.advance(1.0)
+        self.assertEqual(self.store.calls[0][0], "watch 10")
