Run no query again that was lost at its hub; start with small budgets

A hub had acknowledged a query and was lost; the instance that had sent it ran it again and did not know which servers had it. Reading for the cause showed a second fault: after a start of all instances at once the fixed part of the budget was divided by the two or three heard of so far.

Change: a query that its hub has acknowledged is answered 502 when the hub is lost, and run here only if the hub never took it. In its first 6 s an instance takes a hundredth of the fixed part.

--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -42,6 +42,8 @@
 LAST_WRITE_S = 0.05  # seconds in which the last answers are written
 MARGIN_S = 0.35  # seconds kept from the time in which the process has to end
 ALL_NEAR = 4  # instances near by that hear at once that another one had better read
+SMALL_FLEET = 12  # instances that share a server's connections until more are known
+SETTLE_S = 6.0  # seconds after the start in which a fleet of hundreds is heard of
 RELEARN_S = 1.5  # seconds after a pause in which an answer of a peer is waited for
 
 log = part_log("gateway")
@@ -121,6 +123,7 @@
         self._sweep.clock = reactor
         self._share = 0.0
         self._paused_at = -1e9
+        self._started_at = clock.now()
         self._stop_at: float | None = None
         self._on_stopped: Callable[[], None] | None = None
         self._close_port: Callable[[], object] = lambda: None
@@ -173,7 +176,7 @@
         for server in self.registry.expire(now):
             self._forget(server)
         self.reader.note_newest(self.table.newest_revision())
-        self._set_share(1 / self.table.size(now))
+        self._set_share(now)
         self.calls.sweep(now)
         self.pools.sweep(now)
         for conn in list(self.callers):
@@ -198,15 +201,18 @@
                 # The last answers are still to be written.
                 self._reactor.callLater(LAST_WRITE_S, self._on_stopped)
 
-    def _set_share(self, share: float) -> None:
+    def _set_share(self, now: float) -> None:
         """Take the part of the fleet's budgets that this instance may spend."""
-        if not self.table.is_hearing(self._clock.now()):
-            # Alone or not heard of yet: others may run unseen.
-            share = min(share, 1 / self._limits.fleet_guess)
-        if share != self._share:
-            self._share = share
-            self.chooser.set_share(share)
-            self.pools.set_share(share)
+        size = heard_of = self.table.size(now)
+        is_new = now - self._started_at < SETTLE_S
+        if is_new or not self.table.is_hearing(now):
+            # Others may run unseen, as when all start again at once.
+            size = max(size, self._limits.fleet_guess)
+            heard_of = max(heard_of, SMALL_FLEET)
+        if 1 / size != self._share:
+            self._share = 1 / size
+            self.chooser.set_share(self._share)
+            self.pools.set_share(1 / heard_of)
 
     def _is_reader(self) -> bool:
         now = self._clock.now()
--- a/currantwharf/gateway/gateway_limits.py
+++ b/currantwharf/gateway/gateway_limits.py
@@ -9,12 +9,12 @@
 
     For each service and window of `repeat_window_s` seconds, `repeat_ratio` of its
     requests and `repeat_slack` more may be sent again. `fleet_guess` is the number of
-    instances that is assumed until the fleet is known. `grace_s` bounds a graceful
-    stop in seconds.
+    instances that is assumed until the fleet is known, larger than any fleet of today.
+    `grace_s` bounds a graceful stop in seconds.
     """
 
     repeat_ratio: float = 0.2
     repeat_slack: float = 0.0
     repeat_window_s: float = 10.0
-    fleet_guess: int = 12
+    fleet_guess: int = 100
     grace_s: float = 6.0
--- a/currantwharf/gateway/relay.py
+++ b/currantwharf/gateway/relay.py
@@ -12,6 +12,7 @@
 
 from currantwharf.gateway.gateway_request import GatewayRequest
 from currantwharf.gateway.place import Place
+from currantwharf.gateway.relay_failure import RelayFailure
 from currantwharf.http1 import (
     ConnectionFailure,
     ConnectionPool,
@@ -20,6 +21,7 @@
 )
 from currantwharf.peers.peer_table import PeerTable
 from currantwharf.runtime.clock import Clock
+from currantwharf.runtime.part_log import part_log
 
 BUSY_RATE = 2.0  # queries a second with which an instance keeps its own connections
 RATE_WINDOW_S = 5.0  # seconds over which queries are counted
@@ -28,6 +30,8 @@
 AVOID_S = 3.0  # seconds for which a hub that failed is not used
 MOST_CONNECTIONS = 16  # queries under way at one hub
 
+log = part_log("relay")
+
 
 class Relay:
     """Choose hubs, send queries to them, and notice those that fail."""
@@ -61,12 +65,13 @@
         hub: str,
         encode: Callable[[float], bytes],
         request: GatewayRequest,
-        on_answer: Callable[[HttpAnswer | None], None],
+        on_answer: Callable[[HttpAnswer | RelayFailure], None],
     ) -> Callable[[], None]:
         """Send a query to a hub; return what withdraws it.
 
-        `on_answer` hears None if the hub failed or refused: the query is then this
-        instance's to run.
+        A query that the hub did not take is this instance's to run. One that was
+        lost at the hub is not: its servers may have run it as often as the route
+        allows, and the caller may ask again.
         """
         pool = self._pool(hub)
         is_withdrawn = False
@@ -79,9 +84,11 @@
                 return
             if isinstance(result, ConnectionFailure):
                 self._avoid[hub] = self._clock.now() + AVOID_S
-                on_answer(None)
+                had_it = exchange.is_acknowledged
+                log.warning("hub failed", extra={"hub": hub, "had_query": had_it})
+                on_answer(RelayFailure.LOST if had_it else RelayFailure.NOT_TAKEN)
             elif result.status == 503:
-                on_answer(None)
+                on_answer(RelayFailure.NOT_TAKEN)
             else:
                 on_answer(result)
 
--- a/currantwharf/platform/caller_protocol.py
+++ b/currantwharf/platform/caller_protocol.py
@@ -11,6 +11,7 @@
 from currantwharf.gateway.merge_records import merge_records
 from currantwharf.gateway.overrun import Overrun
 from currantwharf.gateway.relay import Relay
+from currantwharf.gateway.relay_failure import RelayFailure
 from currantwharf.gateway.route import Route
 from currantwharf.http1 import (
     Header,
@@ -106,9 +107,11 @@
             )
             return encode_request(request.method, request.target, headers, request.body)
 
-        def done(answer: HttpAnswer | None) -> None:
-            if answer is None:
+        def done(answer: HttpAnswer | RelayFailure) -> None:
+            if answer is RelayFailure.NOT_TAKEN:
                 self._run(request, route, responder)
+            elif isinstance(answer, RelayFailure):
+                responder.finish(502, (), b"unknown: hub lost\n")
             else:
                 kept = tuple(h for h in answer.headers if h[0] != b"content-length")
                 responder.finish(answer.status, end_to_end(kept), answer.body)
