Send a query once less that a hub may have; hubs that are behind leave it

Reading for the cause showed a second fault: a hub with an older configuration would have answered a query by it, or with 404.

Change: a query that was written to a hub and not acknowledged counts as sent once to each shard: one server less may get it, and what is sent takes from the budget of repeats. The query carries the configuration's version; a hub that is behind, or knows no route, leaves it to the instance that asked. Headers between instances no longer reach backend servers.

Left: where packets pass one way only, a hub may hedge a query that it holds while the other instance sends it as well.

--- a/currantwharf/gateway/entry_point.py
+++ b/currantwharf/gateway/entry_point.py
@@ -58,15 +58,20 @@
         self._is_relearning = is_relearning
         self._turns: dict[str, tuple[Route, WeightedTurn]] = {}
 
+    @property
+    def config_version(self) -> int:
+        """The version of the configuration in force, 0 if there is none."""
+        config = self.registry.config
+        return config.version if config is not None else 0
+
     def find(self, host: bytes, path: bytes, request_id: str) -> Route | Refusal:
         """Return the route of a request, or why it is not taken."""
         found = self._find(host, path)
         if isinstance(found, Refusal):
-            config = self.registry.config
             fields = {
                 "request_id": request_id,
                 "reason": found.value,
-                "config_version": config.version if config is not None else None,
+                "config_version": self.config_version,
                 "host": host.decode("latin-1"),
                 "path": path.decode("latin-1"),
             }
--- a/currantwharf/gateway/gateway_request.py
+++ b/currantwharf/gateway/gateway_request.py
@@ -11,7 +11,8 @@
 
     `deadline` is when the caller stops to wait, `target_at` when an answer leaves
     that still arrives within the target of its class. `fingerprint` is a digest of
-    what is asked, the same whenever it is asked again.
+    what is asked, the same whenever it is asked again. `sent_before` is the number of
+    servers of each shard that another instance may have sent it to.
     """
 
     request_id: str
@@ -23,3 +24,4 @@
     arrived_at: float
     deadline: float
     target_at: float
+    sent_before: int = 0
--- a/currantwharf/gateway/relay.py
+++ b/currantwharf/gateway/relay.py
@@ -69,9 +69,11 @@
     ) -> Callable[[], None]:
         """Send a query to a hub; return what withdraws it.
 
-        A query that the hub did not take is this instance's to run. One that was
-        lost at the hub is not: its servers may have run it as often as the route
-        allows, and the caller may ask again.
+        A query that the hub did not take is this instance's to run. So is one that
+        the hub did not acknowledge, but it may have sent it to a server of each shard
+        before it saw the connection end. One that was lost at the hub is not: its
+        servers may have run it as often as the route allows, and the caller may ask
+        again.
         """
         pool = self._pool(hub)
         is_withdrawn = False
@@ -84,9 +86,15 @@
                 return
             if isinstance(result, ConnectionFailure):
                 self._avoid[hub] = self._clock.now() + AVOID_S
-                had_it = exchange.is_acknowledged
-                log.warning("hub failed", extra={"hub": hub, "had_query": had_it})
-                on_answer(RelayFailure.LOST if had_it else RelayFailure.NOT_TAKEN)
+                failure = _failure_of(result, exchange.is_acknowledged)
+                fields = {
+                    "request_id": request.request_id,
+                    "hub": hub,
+                    "result": result.value,
+                    "query": failure.value,
+                }
+                log.warning("hub failed", extra=fields)
+                on_answer(failure)
             elif result.status == 503:
                 on_answer(RelayFailure.NOT_TAKEN)
             else:
@@ -134,3 +142,9 @@
             )
             self._pools[hub] = pool
         return pool
+
+
+def _failure_of(result: ConnectionFailure, is_acknowledged: bool) -> RelayFailure:
+    if is_acknowledged:
+        return RelayFailure.LOST
+    return RelayFailure.UNCONFIRMED if result.was_sent else RelayFailure.NOT_TAKEN
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -47,7 +47,10 @@
         self.is_finished = False
         self.sends = 0
         self.extras = 0
-        self.parts = [PartCall(service) for service in services]
+        sent = request.sent_before
+        self.parts = [
+            PartCall(service, ran_on=sent, arrived=sent > 0) for service in services
+        ]
         self._chooser = chooser
         self._next_attempt = first_attempt
         self._part_of: dict[int, PartCall] = {}
--- a/currantwharf/gateway/tests/test_relay.py
+++ b/currantwharf/gateway/tests/test_relay.py
@@ -74,11 +74,16 @@
         self.send()
         self.connect()
         self.reactor.advance(ACKNOWLEDGED_S + 0.01)
-        self.assertEqual(self.answers, [RelayFailure.NOT_TAKEN])
+        self.assertEqual(self.answers, [RelayFailure.UNCONFIRMED])
         self.assertIsNone(self.relay.hub(self.reactor.seconds()))
         self.reactor.advance(AVOID_S)
         self.assertIsNotNone(self.relay.hub(self.reactor.seconds()))
 
+    def test_query_that_was_never_written_was_not_taken(self):
+        self.send()
+        self.reactor.advance(ACKNOWLEDGED_S + 0.01)
+        self.assertEqual(self.answers, [RelayFailure.NOT_TAKEN])
+
     def test_acknowledged_query_is_waited_for(self):
         self.send()
         hub = self.connect()
--- a/currantwharf/gateway/tests/test_running_call.py
+++ b/currantwharf/gateway/tests/test_running_call.py
@@ -52,6 +52,19 @@
     def test_each_shard_is_asked_near_by(self):
         self.assertEqual(set(self.first), {"camphor-near", "longan-near"})
 
+    def test_query_that_another_instance_may_have_sent_is_sent_once_less(self):
+        actions = self.begin(make_route(SHARDS, most_servers=2), SHARDS, sent_before=1)
+        first = self.sends(actions)
+        self.assertEqual(len(first), 2)
+        late = self.call.wake(0.09)
+        lost = self.call.take(first["camphor-near"], ConnectionFailure.BROKEN, 0.1)
+        self.assertEqual(self.sends(late + lost), {})
+
+    def test_what_another_instance_may_have_sent_is_not_called_not_run(self):
+        route = make_route(SHARDS, most_servers=1)
+        result = self.result(self.begin(route, SHARDS, sent_before=1))
+        self.assertEqual(result.outcome, CallOutcome.TIMED_OUT)
+
     def test_whole_answer(self):
         self.call.take(self.first["camphor-near"], make_answer(), 0.01)
         actions = self.call.take(self.first["longan-near"], make_answer(), 0.02)
--- a/currantwharf/platform/backend_protocol.py
+++ b/currantwharf/platform/backend_protocol.py
@@ -12,7 +12,15 @@
 )
 from currantwharf.platform import names
 
-REPLACED = frozenset({names.DEADLINE_MS, names.EXPECTED_SERVER, b"content-length"})
+REPLACED = frozenset(
+    {
+        names.DEADLINE_MS,
+        names.EXPECTED_SERVER,
+        names.TARGET_LEFT_MS,
+        names.CONFIG_VERSION,
+        b"content-length",
+    }
+)
 WITH_LENGTH = frozenset({b"POST", b"PUT", b"PATCH"})  # also if there is no body
 ENCODED = b"content-encoding"  # callers ask for none, so it is not the server's body
 
--- a/currantwharf/platform/caller_protocol.py
+++ b/currantwharf/platform/caller_protocol.py
@@ -66,14 +66,20 @@
             self._forward(hub, translated, route, responder)
 
     def handle_relayed(self, request: HttpRequest, responder: Responder) -> None:
-        """Run a query that another instance has passed on, and say at once so."""
+        """Run a query that another instance has passed on, and say at once so.
+
+        A hub that knows an older configuration, or no route for the query, leaves it
+        to the other instance.
+        """
         responder.acknowledge()
         host = request.get(b"host") or b""
         path = request.target.partition(b"?")[0]
         request_id = request.get(names.REQUEST_ID) or b""
         route = self._entry_point.find(host, path, _text(request_id))
-        if isinstance(route, Refusal):
-            _refuse(route, responder)
+        known = request.get(names.CONFIG_VERSION) or b"0"
+        is_behind = known.isdigit() and int(known) > self._entry_point.config_version
+        if is_behind or isinstance(route, Refusal):
+            responder.finish(503, (), b"not run: left to the instance that asked\n")
             return
         translated = self._translate(request, request_id, route, responder)
         left = request.get(names.TARGET_LEFT_MS) or b""
@@ -104,12 +110,15 @@
                 *request.headers,
                 (names.DEADLINE_MS, b"%d" % left_ms),
                 (names.TARGET_LEFT_MS, b"%d" % target_ms),
+                (names.CONFIG_VERSION, b"%d" % self._entry_point.config_version),
             )
             return encode_request(request.method, request.target, headers, request.body)
 
         def done(answer: HttpAnswer | RelayFailure) -> None:
             if answer is RelayFailure.NOT_TAKEN:
                 self._run(request, route, responder)
+            elif answer is RelayFailure.UNCONFIRMED:
+                self._run(replace(request, sent_before=1), route, responder)
             elif isinstance(answer, RelayFailure):
                 responder.finish(502, (), b"unknown: hub lost\n")
             else:
--- a/currantwharf/platform/names.py
+++ b/currantwharf/platform/names.py
@@ -12,6 +12,7 @@
 RETRY_AFTER = b"retry-after"
 
 # Between instances.
+CONFIG_VERSION = b"x-currantwharf-config"  # version that the sender has in force
 TARGET_LEFT_MS = b"x-currantwharf-target-ms"  # left until the target of the class
 
 # Keys of the store.
--- a/currantwharf/platform/tests/test_caller_protocol.py
+++ b/currantwharf/platform/tests/test_caller_protocol.py
@@ -12,6 +12,7 @@
 class FakeEntryPoint:
     def __init__(self, route):
         self.route = route
+        self.config_version = 7
         self.runs = []
         self.left = []
 
@@ -155,6 +156,29 @@
         self.handle((b"x-request-id", b"r1"))
         self.relay.sent[0][2](RelayFailure.NOT_TAKEN)
         self.assertEqual(len(self.entry.runs), 1)
+        self.assertEqual(self.entry.runs[0][0].sent_before, 0)
+
+    def test_query_that_a_hub_may_have_is_run_here_as_already_sent(self):
+        self.relay.host = "10.0.0.9"
+        self.handle((b"x-request-id", b"r1"))
+        self.relay.sent[0][2](RelayFailure.UNCONFIRMED)
+        self.assertEqual(self.entry.runs[0][0].sent_before, 1)
+
+    def test_hub_with_an_older_configuration_leaves_the_query_alone(self):
+        self.handle(
+            (b"x-request-id", b"r1"), (b"x-currantwharf-config", b"8"), relayed=True
+        )
+        self.assertEqual(self.answers[-1].status, 503)
+        self.assertEqual(self.entry.runs, [])
+        self.handle(
+            (b"x-request-id", b"r1"), (b"x-currantwharf-config", b"6"), relayed=True
+        )
+        self.assertEqual(len(self.entry.runs), 1)
+
+    def test_hub_without_the_route_leaves_the_query_alone(self):
+        self.entry.route = Refusal.NO_ROUTE
+        self.handle((b"x-request-id", b"r1"), relayed=True)
+        self.assertEqual(self.answers[-1].status, 503)
 
     def test_query_that_was_lost_at_a_hub_is_not_run_on_more_servers(self):
         self.relay.host = "10.0.0.9"
