Count an answer's time on the links towards its target

All late ones had left just at their target: the headers of 90 signatures, 3 KB, take 1.2 ms on a link of 20 Mbit a second, once out of the hub's neighbour and once into it.

Change: the target of an answer is earlier by its bytes over the link's rate, twice for a query that a hub runs. The link's rate is read from the settings.

Tests: two, which failed before.

--- a/currantwharf/gateway/place.py
+++ b/currantwharf/gateway/place.py
@@ -12,7 +12,8 @@
 
     `regions` maps data centres to regions. `gossip_port` and `fetch_port` are those of
     every instance, and so is `relay_port`; `seeds` are hosts of others that may be out
-    of date. `cores` is the processor that the instance may use, in cores.
+    of date. `cores` is the processor that the instance may use, in cores, and
+    `link_bytes_s` the rate of its network link in bytes a second.
     """
 
     instance: str
@@ -25,3 +26,4 @@
     seeds: tuple[str, ...]
     relay_port: int = 0
     cores: float = 0.0
+    link_bytes_s: float = 125e6
--- a/currantwharf/platform/caller_protocol.py
+++ b/currantwharf/platform/caller_protocol.py
@@ -8,7 +8,7 @@
 from currantwharf.gateway.call_result import CallOutcome, CallResult
 from currantwharf.gateway.entry_point import EntryPoint, Refusal
 from currantwharf.gateway.gateway_request import GatewayRequest
-from currantwharf.gateway.merge_records import merge_records
+from currantwharf.gateway.merge_records import RECORD_BYTES, merge_records
 from currantwharf.gateway.overrun import Overrun
 from currantwharf.gateway.relay import Relay
 from currantwharf.gateway.relay_failure import RelayFailure
@@ -25,6 +25,7 @@
 from currantwharf.platform.backend_protocol import forwarded_headers
 
 SPARE_S = 0.003  # seconds for this instance's own work before an answer leaves
+SIGNATURE_BYTES = 32  # bytes of a shard's signature and the comma before it
 RETRY_SOON = (names.RETRY_AFTER, b"0.25")  # seconds; a configuration is read in less
 
 STATUS = {
@@ -38,11 +39,16 @@
     """Translate callers' requests and the results of their calls."""
 
     def __init__(
-        self, entry_point: EntryPoint, relay: Relay, clock: Callable[[], float]
+        self,
+        entry_point: EntryPoint,
+        relay: Relay,
+        clock: Callable[[], float],
+        link_bytes_s: float,
     ) -> None:
         self._entry_point = entry_point
         self._relay = relay
         self._clock = clock
+        self._link_bytes_s = link_bytes_s
         self._longest_ms: dict[str, int] = {}
         self._overrun = Overrun()
 
@@ -85,7 +91,7 @@
         left = request.get(names.TARGET_LEFT_MS) or b""
         if left.lstrip(b"-").isdigit():
             target_at = translated.arrived_at + int(left) / 1000 - responder.way_s
-            target_at -= self._overrun.spare_s()
+            target_at -= self._overrun.spare_s() + self._transfer_s(route)
             translated = replace(translated, target_at=target_at)
         self._run(translated, route, responder)
 
@@ -102,10 +108,12 @@
         self, hub: str, request: GatewayRequest, route: Route, responder: Responder
     ) -> None:
         """Have a query run by another instance, or by this one if that fails."""
+        # The answer also passes this instance's link on its way in.
+        target_at = request.target_at - self._transfer_s(route)
 
         def encode(now: float) -> bytes:
             left_ms = max(1, int((request.deadline - now) * 1000))
-            target_ms = int((request.target_at - now) * 1000)
+            target_ms = int((target_at - now) * 1000)
             headers = (
                 *request.headers,
                 (names.DEADLINE_MS, b"%d" % left_ms),
@@ -146,6 +154,7 @@
         self._longest_ms[route.name] = longest_ms
         spent_s = (longest_ms - left_ms) / 1000
         way_s = responder.way_s + SPARE_S + self._overrun.spare_s()
+        way_s += self._transfer_s(route)
         digest = xxhash.xxh3_64(request.target)
         digest.update(request.method)
         digest.update(request.body)
@@ -161,6 +170,11 @@
             now + route.target_s - spent_s - way_s,
         )
 
+    def _transfer_s(self, route: Route) -> float:
+        """Return the time that a whole answer takes on this instance's link."""
+        merged = len(route.shards) * SIGNATURE_BYTES + route.top * RECORD_BYTES
+        return merged / self._link_bytes_s
+
 
 def _answer(result: CallResult, route: Route, responder: Responder) -> None:
     if result.outcome is not CallOutcome.ANSWERED:
--- a/currantwharf/platform/platform_instance.py
+++ b/currantwharf/platform/platform_instance.py
@@ -60,7 +60,10 @@
         self._clock = clock
         self._metrics_port = metrics_port
         self._callers = CallerProtocol(
-            self.gateway.entry_point, self.gateway.relay, clock.now
+            self.gateway.entry_point,
+            self.gateway.relay,
+            clock.now,
+            settings.place.link_bytes_s,
         )
 
     def listen(self) -> None:
--- a/currantwharf/platform/settings_file.py
+++ b/currantwharf/platform/settings_file.py
@@ -21,10 +21,14 @@
 
 
 class LimitsSection(msgspec.Struct, rename="kebab"):
-    """The processor; a share of a core that runs so many times as fast."""
+    """The processor, a share of a core that runs so many times as fast, and the link.
+
+    The link's rate is in Mbit a second.
+    """
 
     cpu_share: float = 1.0
     cores: float = 1.0
+    link_mbps: float = 1000.0
 
 
 class SettingsFile(msgspec.Struct, rename="kebab"):
--- a/currantwharf/platform/tests/test_caller_protocol.py
+++ b/currantwharf/platform/tests/test_caller_protocol.py
@@ -44,9 +44,12 @@
     def setUp(self):
         self.entry = FakeEntryPoint(make_route(("a", "b"), top=2))
         self.relay = FakeRelay()
-        self.protocol = CallerProtocol(self.entry, self.relay, lambda: 100.0)
+        self.protocol = self.protocol_with_link(float("inf"))
         self.answers = []
 
+    def protocol_with_link(self, bytes_s):
+        return CallerProtocol(self.entry, self.relay, lambda: 100.0, bytes_s)
+
     def handle(self, *headers, way_s=0.0, relayed=False):
         request = HttpRequest(
             b"GET", b"/lookup/x?y", ((b"host", b"a.example"), *headers), b"", True
@@ -77,6 +80,20 @@
         request = self.ask(way_s=0.006)
         self.assertAlmostEqual(request.target_at, 100.15 - 0.006 - SPARE_S)
 
+    def test_answer_has_to_pass_the_link_before_its_target(self):
+        self.entry.route = make_route([f"s{at}" for at in range(90)], top=20)
+        self.protocol = self.protocol_with_link(2.5e6)
+        transfer_s = (90 * 32 + 20 * 16) / 2.5e6
+        target_at = self.ask().target_at
+        self.assertAlmostEqual(target_at, 100.15 - SPARE_S - transfer_s)
+
+    def test_answer_of_a_hub_passes_the_link_twice(self):
+        self.entry.route = make_route([f"s{at}" for at in range(90)], top=20)
+        self.protocol = self.protocol_with_link(32e4)
+        self.relay.host = "10.0.0.9"
+        self.handle((b"x-request-id", b"r1"))
+        self.assertIn(b"x-currantwharf-target-ms: 127\r\n", self.relay.sent[0][1])
+
     def test_last_answer_still_reaches_its_caller(self):
         request = self.ask(b"800", way_s=0.006)
         self.assertAlmostEqual(request.deadline, 100.8 - 0.006 - SPARE_S)
