Keep a connection ready for a hedge; count a new one's round trip

Change: a server without a free connection is expected to take a round trip longer, when servers are compared and when a hedge is weighed. A service that is asked more often than once a second has a connection opened to the server that a hedge would go to.

Tests: four, of which three failed before.

--- a/currantwharf/gateway/call_actions.py
+++ b/currantwharf/gateway/call_actions.py
@@ -15,6 +15,13 @@
     is_repeat: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PrepareServer:
+    """Open a connection to the server that a hedge would go to."""
+
+    entry: ServerEntry
+
+
 @dataclass(frozen=True, slots=True)
 class FinishCall:
     """Answer the caller; nothing more is sent for the request."""
@@ -22,4 +29,4 @@
     result: CallResult
 
 
-CallAction = SendAttempt | FinishCall
+CallAction = SendAttempt | PrepareServer | FinishCall
--- a/currantwharf/gateway/calls.py
+++ b/currantwharf/gateway/calls.py
@@ -6,7 +6,12 @@
 from currantwharf.gateway.attempt_result import AttemptResult
 from currantwharf.gateway.backend_answer import BackendAnswer
 from currantwharf.gateway.backend_wire import BackendWire
-from currantwharf.gateway.call_actions import CallAction, FinishCall, SendAttempt
+from currantwharf.gateway.call_actions import (
+    CallAction,
+    FinishCall,
+    PrepareServer,
+    SendAttempt,
+)
 from currantwharf.gateway.call_log import log_failed_attempt
 from currantwharf.gateway.call_result import CallResult
 from currantwharf.gateway.gateway_request import GatewayRequest
@@ -104,6 +109,8 @@
         for action in actions:
             if isinstance(action, SendAttempt):
                 self._send(call, action)
+            elif isinstance(action, PrepareServer):
+                self._pools.get(action.entry).prepare()
         for action in actions:
             if isinstance(action, FinishCall) and call in self.running:
                 self._end(call)
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -81,6 +81,7 @@
         )
         self.registry = Registry(directory, self.chooser)
         self.pools = ServerPools(reactor, clock, self.chooser, self._connections_of)
+        self.chooser.has_connection = self.pools.has_free
         self.calls = Calls(reactor, clock, self.chooser, self.pools, wire, self._note)
         self._call_log = CallLog()
         self.metrics = CallMetrics()
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -7,7 +7,12 @@
 
 from currantwharf.gateway.attempt_result import AttemptResult
 from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
-from currantwharf.gateway.call_actions import CallAction, FinishCall, SendAttempt
+from currantwharf.gateway.call_actions import (
+    CallAction,
+    FinishCall,
+    PrepareServer,
+    SendAttempt,
+)
 from currantwharf.gateway.call_outcome import (
     did_not_run,
     merged_result,
@@ -202,6 +207,10 @@
         self._part_of[attempt] = part
         self._chooser.on_send(entry, attempt, now)
         actions.append(SendAttempt(attempt, entry, part.arrived))
+        if part.hedge_at is not None:
+            other = self._chooser.to_prepare(part.service, self.route, part.tried, now)
+            if other is not None:
+                actions.append(PrepareServer(other))
 
     def _hedge(self, part: PartCall, now: float, actions: list[CallAction]) -> None:
         part.hedge_at = None
@@ -209,7 +218,7 @@
         if entry is None:
             part.why_not_again = RepeatRefusal.NO_OTHER_SERVER
             return
-        arrival = now + self._chooser.expected_s(entry, now)
+        arrival = now + self._chooser.latency_s(entry, now)
         in_time = arrival + LEAST_GAIN_S < self.request.target_at
         if not in_time and self._merges and self._coverage_is_enough():
             part.why_not_again = RepeatRefusal.TOO_LATE
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -1,7 +1,7 @@
 """Choose the backend server of the next send, and say whether one more is allowed."""
 
 import random
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from currantwharf.gateway.attempt_result import AttemptResult
 from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
@@ -32,7 +32,8 @@
     """Hold the evidence and answer which server gets a request.
 
     `region` is this instance's, `regions` maps data centres to regions. `share` is
-    the part of the fleet's budgets that this instance may spend.
+    the part of the fleet's budgets that this instance may spend. `has_connection`
+    tells whether a request to a server would find a connection.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         self.directory = directory
         self.out: set[str] = set()
         self.crashes = CrashWatch()
+        self.has_connection: Callable[[str], bool] = lambda server: True
         self._limits = limits
         self._region = region
         self._regions = regions
@@ -103,6 +105,27 @@
         """Return the latency that is expected of a server, in seconds."""
         return self.evidence(entry).expected_s(now)
 
+    def latency_s(self, entry: ServerEntry, now: float) -> float:
+        """Return the expected latency, with a new connection if there is none free."""
+        latency_s = self.expected_s(entry, now)
+        if not self.has_connection(entry.server):
+            latency_s += self._round_trip_s(entry)
+        return latency_s
+
+    def to_prepare(
+        self, service: str, route: Route, tried: Collection[str], now: float
+    ) -> ServerEntry | None:
+        """Return the server that a hedge would have to connect to first, or None.
+
+        A service that is asked rarely has none: its connections would end unused.
+        """
+        if not self._service(service).is_busy:
+            return None
+        other = self.choose(service, route, tried, now)
+        if other is None or self.has_connection(other.server):
+            return None
+        return other
+
     def slow_after_s(self, entry: ServerEntry) -> float:
         """Return the latency from which a server's answer is unusually late."""
         evidence = self.evidence(entry)
@@ -127,6 +150,7 @@
 
     def begin(self, service: str, now: float) -> None:
         """Count a request for a service, on which its budget of repeats rests."""
+        self._service(service).on_request(now)
         self._budget(service).add_sends(1, now)
 
     def why_not_repeat(
@@ -202,8 +226,11 @@
 
     def _cost(self, entry: ServerEntry, now: float) -> float:
         evidence = self.evidence(entry)
+        round_trip_s = self._round_trip_s(entry)
         cost = evidence.expected_s(now)
-        work_s = max(cost - self._round_trip_s(entry), cost / 4)
+        work_s = max(cost - round_trip_s, cost / 4)
+        if not self.has_connection(entry.server):
+            cost += round_trip_s
         cost += work_s * len(evidence.under_way) / max(1, entry.slots)
         if evidence.is_silent(now):
             cost += SILENCE_S
--- a/currantwharf/gateway/tests/test_calls.py
+++ b/currantwharf/gateway/tests/test_calls.py
@@ -20,6 +20,7 @@
     def __init__(self):
         self.sent = []
         self.withdrawn = []
+        self.prepared = 0
 
     def get(self, entry):
         return self
@@ -32,7 +33,7 @@
         exchange.finish(failure)
 
     def prepare(self):
-        pass
+        self.prepared += 1
 
 
 class CallsTests(unittest.TestCase):
@@ -42,10 +43,11 @@
         self.pools = FakePools()
         self.results = []
         entries = [make_entry("near"), make_entry("far", data_centre=FAR)]
+        self.chooser = make_chooser(entries)
         self.calls = Calls(
             self.clock,
             self.clock,
-            make_chooser(entries),
+            self.chooser,
             self.pools,
             PlatformBackendWire(),
             lambda run, result, now: None,
@@ -68,6 +70,14 @@
         self.assertEqual(len(self.results), 1)
         self.assertEqual(self.calls.running, set())
 
+    def test_busy_service_has_a_connection_ready_for_a_hedge(self):
+        self.chooser.has_connection = lambda server: server == "near"
+        self.start()
+        self.assertEqual(self.pools.prepared, 0)
+        self.start()
+        self.assertEqual(self.pools.prepared, 1)
+        self.assertEqual(len(self.pools.sent), 2)
+
     def test_work_for_a_caller_who_left_is_withdrawn_soon(self):
         call = self.start()
         self.calls.leave(call)
--- a/currantwharf/gateway/tests/test_server_choice.py
+++ b/currantwharf/gateway/tests/test_server_choice.py
@@ -36,6 +36,35 @@
     def test_near_server_first(self):
         self.assertEqual(self.choose(), "near")
 
+    def test_new_connection_costs_a_round_trip(self):
+        self.chooser.has_connection = lambda server: server == "far"
+        connected = self.chooser.latency_s(self.far, 0.0)
+        self.assertEqual(connected, self.chooser.expected_s(self.far, 0.0))
+        self.chooser.has_connection = lambda server: False
+        self.chooser.on_connected(FAR, 0.04)
+        unconnected = self.chooser.latency_s(self.far, 0.0)
+        self.assertAlmostEqual(unconnected - connected, 0.04)
+
+    def test_equal_servers_are_ranked_by_their_connections(self):
+        entries = [make_entry(f"far{at}", data_centre=FAR) for at in range(3)]
+        self.chooser = make_chooser(entries)
+        self.chooser.has_connection = lambda server: server == "far1"
+        chosen = {self.choose() for _ in range(50)}
+        self.assertEqual(chosen, {"far1"})
+
+    def test_connection_for_a_hedge_is_opened_once(self):
+        self.chooser.has_connection = lambda server: server == "near"
+        prepare = self.chooser.to_prepare
+        self.chooser.begin("camphor", 0.0)
+        self.assertIsNone(prepare("camphor", self.route, {"near"}, 0.0))
+        self.chooser.begin("camphor", 0.5)
+        self.assertEqual(prepare("camphor", self.route, {"near"}, 0.5), self.far)
+        self.chooser.has_connection = lambda server: True
+        self.assertIsNone(prepare("camphor", self.route, {"near"}, 0.5))
+        self.chooser.has_connection = lambda server: False
+        self.chooser.begin("camphor", 5.0)
+        self.assertIsNone(prepare("camphor", self.route, {"near"}, 5.0))
+
     def test_reasons_against_a_server(self):
         leaving = make_entry("x", leaving=True)
         why = self.chooser.why_not
--- a/currantwharf/http1/connection_pool.py
+++ b/currantwharf/http1/connection_pool.py
@@ -55,6 +55,11 @@
         """Whether nothing is under way."""
         return not self._waiting and len(self._free) == len(self._open)
 
+    @property
+    def has_free(self) -> bool:
+        """Whether a request would find a connection."""
+        return bool(self._free)
+
     def send(self, exchange: Exchange) -> None:
         """Send a request on a free connection, or as soon as one is free."""
         now = self._clock()
--- a/currantwharf/platform/tests/test_caller_protocol.py
+++ b/currantwharf/platform/tests/test_caller_protocol.py
@@ -89,7 +89,7 @@
 
     def test_answer_of_a_hub_passes_the_link_twice(self):
         self.entry.route = make_route([f"s{at}" for at in range(90)], top=20)
-        self.protocol = self.protocol_with_link(32e4)
+        self.protocol = self.protocol_with_link(3200 / 0.0098)
         self.relay.host = "10.0.0.9"
         self.handle((b"x-request-id", b"r1"))
         self.assertIn(b"x-currantwharf-target-ms: 127\r\n", self.relay.sent[0][1])
--- a/currantwharf/platform/tests/test_platform_settings.py
+++ b/currantwharf/platform/tests/test_platform_settings.py
@@ -16,6 +16,7 @@
 port-range: [7380, 7395]
 seeds: ["10.1.0.9:8106", "10.2.0.21:8106"]
 bounds: {retry-budget-ratio: 0.2, budget-slack: 58, grace-s: 6, config-apply-ms: 4000}
+limits: {cpu-share: 0.5, cores: 3, link-mbps: 20.0, memory-mb: 300}
 platform: {address: "10.200.1.7:8102", form: "read"}
 later: "a field that is not known"
 """
@@ -37,6 +38,8 @@
         self.assertEqual(found.callers, ("10.1.0.9", 8104))
         self.assertEqual(found.limits.repeat_slack, 58)
         self.assertEqual(found.limits.grace_s, 6.0)
+        self.assertEqual(found.place.cores, 1.5)
+        self.assertEqual(found.place.link_bytes_s, 2_500_000)
 
     def test_files_that_are_not_valid(self):
         for text in (
