Learn each server's share of failures; end a query that can't reach its coverage

Queries of which too many parts had failed twice were held until their deadline and answered 504 then.

Change: evidence holds the share of requests that failed, which fades as the rest does; it counts as 0.2 s a failure where a server is chosen, 2 s for a request that may not be sent again. A query that can't reach its least coverage any more is answered at once.

--- a/currantwharf/gateway/crash_watch.py
+++ b/currantwharf/gateway/crash_watch.py
@@ -5,9 +5,8 @@
 other instances, so the third crash anywhere is the last.
 """
 
-from currantwharf.peers.hello import LossNews
+from currantwharf.policy.crash_news import CrashNews
 from currantwharf.policy.crash_table import CrashTable
-from currantwharf.wire import CrashNews
 
 CRASHES_TO_HOLD = 3  # servers lost to a request before it is held everywhere
 CONFIRM_S = 1.5  # seconds in which a refused connection still proves the crash
@@ -47,14 +46,10 @@
         """Return whether a request is refused because it crashes servers."""
         return self.table.is_held(fingerprint, now)
 
-    def news(self, now: float) -> tuple[LossNews, ...]:
+    def news(self, now: float) -> tuple[CrashNews, ...]:
         """Return the newest losses, for others."""
-        return tuple(
-            LossNews(loss.key, loss.boot, round(loss.age_s, 2))
-            for loss in self.table.news(now)
-        )
+        return self.table.news(now)
 
-    def take_news(self, losses: tuple[LossNews, ...], now: float) -> None:
+    def take_news(self, losses: tuple[CrashNews, ...], now: float) -> None:
         """Count losses that another instance has told of."""
-        news = tuple(CrashNews(loss.key, loss.boot, loss.age_s) for loss in losses)
-        self.table.take_news(news, now)
+        self.table.take_news(losses, now)
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -259,12 +259,20 @@
     ) -> list[CallAction]:
         if self._answered == len(self.parts) or self._may_answer(now):
             return self._finish(actions)
-        if not any(part.is_open for part in self.parts):
+        if self._is_hopeless():
             return self._finish(actions)
         if not self._merges and self._is_refused_now():
             return self._finish(actions)
         return actions
 
+    def _is_hopeless(self) -> bool:
+        """Return whether no answer that may still come makes the coverage suffice."""
+        if not self._merges:
+            return not self.parts[0].is_open
+        still_open = sum(part.is_open for part in self.parts)
+        most = Coverage(self._answered + still_open, len(self.parts))
+        return not still_open or most.share < self.route.least_coverage
+
     def _is_refused_now(self) -> bool:
         """Return whether no server takes the request: its caller is told at once."""
         part = self.parts[0]
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -20,6 +20,8 @@
 NEAR_S = 0.002  # seconds of a round trip inside a region, until one is measured
 FAR_S = 0.042  # seconds of a round trip between regions, until one is measured
 SILENCE_S = 0.15  # seconds that a server which has fallen silent is expected to stay so
+FAILED_S = 0.2  # seconds that a failure costs a request which may be sent again
+FAILED_ORDER_S = 2.0  # seconds that one costs a request which may not
 EJECTED_S = 10.0  # seconds; ranks an ejected server behind any other
 COLD_FACTOR = 1.6  # times the usual work that a cold server takes
 ELSEWHERE_FACTOR = 2.0  # times the usual work that a hedge elsewhere may take
@@ -96,7 +98,7 @@
         for entry in self.directory.servers_of(service).values():
             if self.why_not(entry, route, tried) is not None:
                 continue
-            cost = self._cost(entry, now)
+            cost = self._cost(entry, route, now)
             if cost < best_cost:
                 best, best_cost = entry, cost
         return best
@@ -224,7 +226,7 @@
             self._evidence[entry.server] = evidence
         return evidence
 
-    def _cost(self, entry: ServerEntry, now: float) -> float:
+    def _cost(self, entry: ServerEntry, route: Route, now: float) -> float:
         evidence = self.evidence(entry)
         round_trip_s = self._round_trip_s(entry)
         cost = evidence.expected_s(now)
@@ -232,6 +234,8 @@
         if not self.has_connection(entry.server):
             cost += round_trip_s
         cost += work_s * len(evidence.under_way) / max(1, entry.slots)
+        loss_s = FAILED_S if route.idempotent else FAILED_ORDER_S
+        cost += loss_s * evidence.failed_share(now)
         if evidence.is_silent(now):
             cost += SILENCE_S
         if now < evidence.cold_until:
--- a/currantwharf/gateway/server_evidence.py
+++ b/currantwharf/gateway/server_evidence.py
@@ -9,6 +9,7 @@
 FEW_SAMPLES = 4  # latencies before the mean counts
 PRIOR_FACTOR = 2.0  # times the prior, after which a server without history is slow
 SLOW_TO_BELIEVE = 2  # slow answers in a row before they count in full
+FAILURE_WEIGHT = 0.3  # of a new outcome in the share of failures; three show a change
 FORGET_S = 5.0  # seconds after which an unused server is believed to be average again
 EJECT_AFTER = 2  # failures in a row
 FIRST_EJECTION_S = 0.5  # seconds
@@ -31,8 +32,10 @@
         "answered_at",
         "under_way",
         "failures",
+        "ended_at",
         "ejected_until",
         "cold_until",
+        "_failed_share",
         "_slow_in_a_row",
     )
 
@@ -45,8 +48,10 @@
         self.answered_at = 0.0
         self.under_way: dict[int, float] = {}
         self.failures = 0
+        self.ended_at = 0.0
         self.ejected_until = 0.0
         self.cold_until = 0.0
+        self._failed_share = 0.0
         self._slow_in_a_row = 0
 
     def on_send(self, attempt: int, now: float) -> None:
@@ -59,6 +64,7 @@
         self.failures = 0
         self.ejected_until = 0.0
         self.answered_at = now
+        self._learn_outcome(0.0, now)
         if sent_at is None:
             return None
         latency_s = now - sent_at
@@ -73,6 +79,7 @@
         """Note a failure; after some in a row the server is ejected for a while."""
         self.under_way.pop(attempt, None)
         self.failures += 1
+        self._learn_outcome(1.0, now)
         if self.failures >= EJECT_AFTER:
             doublings = min(self.failures - EJECT_AFTER, 8)
             wait_s = min(FIRST_EJECTION_S * 2**doublings, LONGEST_EJECTION_S)
@@ -80,9 +87,15 @@
 
     def expected_s(self, now: float) -> float:
         """Return the latency that is expected now; old evidence fades."""
-        fading = math.exp(-max(0.0, now - self.seen_at) / FORGET_S)
+        fading = _fading(now - self.seen_at)
         return self.prior_s + (self.mean_s - self.prior_s) * fading
 
+    def failed_share(self, now: float) -> float:
+        """Return the share of requests that fail; old evidence fades."""
+        if not self._failed_share:
+            return 0.0
+        return self._failed_share * _fading(now - self.ended_at)
+
     def slow_after_s(self) -> float:
         """Return the latency from which an answer is unusually late."""
         if self.samples < FEW_SAMPLES:
@@ -98,6 +111,11 @@
             return now - sent_at > self.slow_after_s() and self.answered_at <= sent_at
         return False
 
+    def _learn_outcome(self, failed: float, now: float) -> None:
+        known = self.failed_share(now)
+        self._failed_share = known + FAILURE_WEIGHT * (failed - known)
+        self.ended_at = now
+
     def _learn(self, latency_s: float, now: float) -> None:
         self.seen_at = now
         if self.samples == 0:
@@ -117,3 +135,8 @@
         error = latency_s - self.mean_s
         self.mean_s += MEAN_WEIGHT * error
         self.deviation_s += DEVIATION_WEIGHT * (abs(error) - self.deviation_s)
+
+
+def _fading(age_s: float) -> float:
+    """Return the weight that evidence of this age still has."""
+    return math.exp(-max(0.0, age_s) / FORGET_S)
--- a/currantwharf/gateway/tests/test_running_call.py
+++ b/currantwharf/gateway/tests/test_running_call.py
@@ -120,6 +120,18 @@
         self.assertEqual(result.outcome, CallOutcome.TIMED_OUT)
         self.assertEqual(result.answers, ())
 
+    def test_query_that_can_not_reach_its_coverage_ends_at_once(self):
+        route = make_route(SHARDS, least_coverage=0.9, most_servers=1)
+        first = self.sends(self.begin(route, SHARDS))
+        actions = self.call.take(first["camphor-near"], ConnectionFailure.BROKEN, 0.01)
+        self.assertEqual(self.result(actions).outcome, CallOutcome.TIMED_OUT)
+
+    def test_query_that_can_still_reach_its_coverage_goes_on(self):
+        route = make_route(SHARDS, least_coverage=0.5, most_servers=1)
+        first = self.sends(self.begin(route, SHARDS))
+        actions = self.call.take(first["camphor-near"], ConnectionFailure.BROKEN, 0.01)
+        self.assertEqual(actions, [])
+
     def test_failures_of_a_server_are_no_parts(self):
         for answer in (
             make_answer(Verdict.FAILED, 500),
--- a/currantwharf/gateway/tests/test_server_choice.py
+++ b/currantwharf/gateway/tests/test_server_choice.py
@@ -36,6 +36,30 @@
     def test_near_server_first(self):
         self.assertEqual(self.choose(), "near")
 
+    def alternate(self, entry, outcomes, now=0.0):
+        for outcome in outcomes:
+            self.chooser.on_send(entry, 0, now)
+            now += 0.01
+            self.chooser.on_result(outcome, entry, 0, now)
+        return now
+
+    def test_server_that_loses_answers_now_and_then_ranks_behind(self):
+        self.learn(self.near, 0.012)
+        self.learn(self.far, 0.053)
+        outcomes = [make_answer(), ConnectionFailure.BROKEN] * 3
+        now = self.alternate(self.near, outcomes)
+        self.assertFalse(now < self.chooser.evidence(self.near).ejected_until)
+        self.assertEqual(self.choose(now), "far")
+        self.assertEqual(self.choose(now + 20.0), "near")
+
+    def test_one_loss_weighs_more_for_an_order(self):
+        self.learn(self.near, 0.05)
+        self.learn(self.far, 0.15)
+        now = self.alternate(self.near, [ConnectionFailure.BROKEN, make_answer()])
+        self.assertEqual(self.choose(now), "near")
+        self.route = make_route(idempotent=False)
+        self.assertEqual(self.choose(now), "far")
+
     def test_new_connection_costs_a_round_trip(self):
         self.chooser.has_connection = lambda server: server == "far"
         connected = self.chooser.latency_s(self.far, 0.0)
--- a/currantwharf/owner/__init__.py
+++ b/currantwharf/owner/__init__.py
@@ -16,6 +16,7 @@
     ItemOutcome,
 )
 from currantwharf.owner.condition import Condition
+from currantwharf.owner.crash_key import crash_key
 from currantwharf.owner.limit import ServerLimit
 from currantwharf.owner.server_gate import (
     SILENT_TAKEOVER_WAIT_S,
@@ -23,7 +24,7 @@
     ServerGate,
 )
 from currantwharf.owner.shard_answers import answers_for, refusal, unanswered
-from currantwharf.policy.crash_table import CrashTable, crash_key, fingerprint_of
+from currantwharf.policy.crash_table import CrashTable, fingerprint_of
 
 __all__ = [
     "SILENT_TAKEOVER_WAIT_S",
--- a/currantwharf/peers/hello.py
+++ b/currantwharf/peers/hello.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from currantwharf.gateway.changes import StoreEvents
+from currantwharf.policy.crash_news import CrashNews
 
 
 class MemberNews(msgspec.Struct, frozen=True, array_like=True):
@@ -20,17 +21,6 @@
     cores: float = 0.0
 
 
-class LossNews(msgspec.Struct, frozen=True, array_like=True):
-    """Tell of a backend server that was lost while it ran a request.
-
-    `key` is the request's fingerprint and `boot` the start of the server.
-    """
-
-    key: str
-    boot: str
-    age_s: float
-
-
 class Hello(msgspec.Struct, frozen=True, array_like=True):
     """Tell how the sender stands and what it has heard.
 
@@ -47,7 +37,7 @@
     can_read: bool
     revision: int
     members: tuple[MemberNews, ...] = ()
-    losses: tuple[LossNews, ...] = ()
+    losses: tuple[CrashNews, ...] = ()
     events: StoreEvents | None = None
     wants_reply: bool = False
     cores: float = 0.0
--- a/currantwharf/peers/peer_task.py
+++ b/currantwharf/peers/peer_task.py
@@ -21,8 +21,9 @@
     Responder,
     encode_request,
 )
-from currantwharf.peers.hello import Hello, LossNews, decode_hello, encode_hello
+from currantwharf.peers.hello import Hello, decode_hello, encode_hello
 from currantwharf.peers.peer_table import PeerTable
+from currantwharf.policy.crash_news import CrashNews
 from currantwharf.runtime.clock import Clock
 from currantwharf.runtime.part_log import part_log
 
@@ -58,9 +59,9 @@
         table: PeerTable,
         registry: Registry,
         standing: Callable[[], tuple[bool, bool]],
-        losses: Callable[[], tuple[LossNews, ...]],
+        losses: Callable[[], tuple[CrashNews, ...]],
         on_news: Callable[[list[RevisedChange]], None],
-        on_losses: Callable[[tuple[LossNews, ...]], None],
+        on_losses: Callable[[tuple[CrashNews, ...]], None],
         rng: random.Random,
     ) -> None:
         self.table = table
--- a/currantwharf/peers/tests/test_peer_task.py
+++ b/currantwharf/peers/tests/test_peer_task.py
@@ -7,9 +7,9 @@
 from currantwharf.gateway.place import Place
 from currantwharf.gateway.registry import Registry
 from currantwharf.http1 import HttpRequest, Responder
-from currantwharf.peers.hello import LossNews
 from currantwharf.peers.peer_table import PeerTable
 from currantwharf.peers.peer_task import PeerTask
+from currantwharf.policy.crash_news import CrashNews
 from currantwharf.tests.gateway_builders import make_chooser, server_change
 
 GOSSIP, FETCH = 7000, 7001
@@ -136,7 +136,7 @@
     def test_losses_reach_others(self):
         for _ in range(50):
             self.network.advance(0.1)
-        self.losses["i1"] = (LossNews("f", "s1", 0.1),)
+        self.losses["i1"] = (CrashNews("f", "s1", 0.1),)
         self.tasks["i1"].tell_everyone()
         self.network.advance(0.1)
         self.assertEqual(self.losses["heard by i3"], self.losses["i1"])
--- a/currantwharf/policy/crash_table.py
+++ b/currantwharf/policy/crash_table.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from currantwharf.wire import CrashNews, ShardRequest
+from currantwharf.policy.crash_news import CrashNews
 
 LOSSES_TO_HOLD = 2  # servers lost to a request before it is held
 HOLD_S = 600.0  # seconds for which a loss counts
@@ -24,11 +24,6 @@
     at: float
 
 
-def crash_key(request: ShardRequest) -> str:
-    """Return what identifies a request for this purpose."""
-    return f"{request.fingerprint}@{request.shard}"
-
-
 def fingerprint_of(key: str) -> str:
     """Return the fingerprint in a key, which an operator publishes to release it."""
     return key.partition("@")[0]
--- a/currantwharf/wire/__init__.py
+++ b/currantwharf/wire/__init__.py
@@ -10,7 +10,7 @@
     pack,
     unpack,
 )
-from currantwharf.wire.heartbeat import CrashNews, Heartbeat, MemberNews
+from currantwharf.wire.heartbeat import Heartbeat, MemberNews
 from currantwharf.wire.hit import Hit
 from currantwharf.wire.outcome import Outcome
 from currantwharf.wire.reason import Reason
@@ -25,7 +25,6 @@
     "Claim",
     "ClaimReply",
     "ClaimResult",
-    "CrashNews",
     "Envelope",
     "Heartbeat",
     "Hit",
--- a/currantwharf/wire/heartbeat.py
+++ b/currantwharf/wire/heartbeat.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from currantwharf.policy.crash_news import CrashNews
 from currantwharf.wire.ack import Ack
 
 
@@ -20,19 +21,6 @@
     stopping: bool
 
 
-@dataclass(frozen=True, slots=True)
-class CrashNews:
-    """Tell that a backend server was lost while it ran a request.
-
-    `key` names the request by its fingerprint and shard, `boot` the server and its
-    boot; the loss was `age_s` seconds ago.
-    """
-
-    key: str
-    boot: str
-    age_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Show how the sender stands and what it has heard of others."""
