Keep cold servers to what they bear; split the gateway's stop and the rule of answers off

Cause: the README promises that no server gets more than it can bear, but a declared rate of cold servers was read and not enforced.

Change: each instance takes its share of a cold server's rate from a bucket, and none where its share is tiny. The steps of a graceful stop are in shutdown.py, and when a query is answered without all parts in answer_rule.py; the stop and the rule are as before. The slopes tool spreads its instances over seven data centres, the target's number, and counts in what is looked up beside a hello.

--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -29,6 +29,7 @@
 from currantwharf.gateway.server_choice import ServerChooser
 from currantwharf.gateway.server_directory import ServerDirectory
 from currantwharf.gateway.server_pools import ServerPools
+from currantwharf.gateway.shutdown import Shutdown
 from currantwharf.gateway.store_change import ServerRemoved
 from currantwharf.http1 import CallerConnection, RequestLimits
 from currantwharf.peers.peer_table import PeerTable
@@ -38,9 +39,7 @@
 from currantwharf.runtime.pause_watch import PauseWatch
 
 SWEEP_S = 0.25  # seconds between two looks at what is overdue
-BALANCER_S = 2.6  # seconds until a balancer that checks each second has missed two
 LAST_WRITE_S = 0.05  # seconds in which the last answers are written
-MARGIN_S = 0.35  # seconds kept from the time in which the process has to end
 ALL_NEAR = 4  # instances near by that hear at once that another one had better read
 SMALL_FLEET = 12  # instances that share a server's connections until more are known
 SETTLE_S = 6.0  # seconds after the start in which a fleet of hundreds is heard of
@@ -78,8 +77,9 @@
         self._cores = place.cores
         directory = ServerDirectory()
         self.chooser = ServerChooser(
-            directory, limits, place.region, place.regions, rng
+            directory, limits, place.region, place.regions, rng, place.instance
         )
+        self.chooser.cold.rate_of = self._cold_rate_of
         self.registry = Registry(directory, self.chooser)
         self.pools = ServerPools(reactor, clock, self.chooser, self._connections_of)
         self.chooser.has_connection = self.pools.has_free
@@ -126,10 +126,8 @@
         self._shares = 0.0, 0.0
         self._paused_at = -1e9
         self._started_at = clock.now()
-        self._stop_at: float | None = None
-        self._on_stopped: Callable[[], None] | None = None
-        self._close_port: Callable[[], object] = lambda: None
-        self._is_closed_to_callers = False
+        self._shutdown: Shutdown | None = None
+        self._on_stopped: Callable[[], None] = lambda: None
 
     def start(self) -> None:
         """Begin to read and to look after what is overdue."""
@@ -165,8 +163,13 @@
             return
         log.info("stopping", extra={"calls": len(self.calls.running)})
         self.life = Life.STOPPING
-        self._stop_at = self._clock.now()
-        self._close_port = close_port
+        self._shutdown = Shutdown(
+            self._clock.now(),
+            self._limits.grace_s,
+            self.calls,
+            self.callers,
+            close_port,
+        )
         self._on_stopped = on_stopped
 
     def _on_sweep(self) -> None:
@@ -183,25 +186,10 @@
         self.pools.sweep(now)
         for conn in list(self.callers):
             conn.sweep(now)
-        if self._stop_at is not None:
-            self._go_on_stopping(now - self._stop_at)
-
-    def _go_on_stopping(self, since_s: float) -> None:
-        if since_s < BALANCER_S:
-            return
-        if not self._is_closed_to_callers:
-            self._is_closed_to_callers = True
-            self._close_port()
-            for conn in list(self.callers):
-                if not conn.is_busy:
-                    conn.close()
-        is_quiet = not self.calls.running and not any(c.is_busy for c in self.callers)
-        if is_quiet or since_s >= self._limits.grace_s - MARGIN_S:
-            self.calls.give_up_all()
+        if self._shutdown is not None and self._shutdown.step(now):
             self._sweep.stop()
-            if self._on_stopped is not None:
-                # The last answers are still to be written.
-                self._reactor.callLater(LAST_WRITE_S, self._on_stopped)
+            # The last answers are still to be written.
+            self._reactor.callLater(LAST_WRITE_S, self._on_stopped)
 
     def _set_share(self, now: float) -> None:
         """Take the part of the fleet's budgets that this instance may spend."""
@@ -276,6 +264,11 @@
         self.pools.close(server)
         self.chooser.forget(server)
 
+    def _cold_rate_of(self, service: str) -> float | None:
+        config = self.registry.config
+        declared = config.services.get(service) if config is not None else None
+        return declared.cold_rate if declared is not None else None
+
     def _connections_of(self, service: str) -> int:
         config = self.registry.config
         declared = config.services.get(service) if config is not None else None
--- a/currantwharf/gateway/ineligible.py
+++ b/currantwharf/gateway/ineligible.py
@@ -11,3 +11,4 @@
     REGION_NOT_ALLOWED = "region_not_allowed"
     ADDRESS_REUSED = "address_reused"
     TRIED = "tried"
+    COLD = "cold"  # it has its share of what it bears
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -5,6 +5,7 @@
 service; all parts come from the configuration that was in force when it began.
 """
 
+from currantwharf.gateway.answer_rule import AnswerRule
 from currantwharf.gateway.attempt_result import AttemptResult
 from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
 from currantwharf.gateway.call_actions import (
@@ -31,7 +32,6 @@
 
 RETRY_S = 0.04  # seconds before a server is looked for again
 MOST_SENDS = 6  # sends of one part; rejections cost the budget as well
-LATE_PATIENCE = 0.5  # of the target that a late answer waits for its last parts
 LEAST_GAIN_S = 0.002  # seconds by which a hedge has to beat the target
 RETRY_AFTER_S = 0.25  # seconds after which a refused caller may find a server
 
@@ -62,7 +62,7 @@
         self._answered = 0
         self._merges = bool(route.shards)
         self._last_reason = CallReason.NO_SERVER
-        self._late_at = request.target_at + LATE_PATIENCE * route.target_s
+        self._rule = AnswerRule(route, request.target_at, len(services))
 
     @staticmethod
     def most_attempts(parts: int) -> int:
@@ -81,7 +81,7 @@
         """Return when `wake` is due next, in seconds of the monotonic clock."""
         wake_at = self.request.deadline
         if self._merges:
-            for at in (self.request.target_at, self._late_at):
+            for at in (self.request.target_at, self._rule.late_at):
                 if now < at < wake_at:
                     wake_at = at
         for part in self.parts:
@@ -220,7 +220,7 @@
             return
         arrival = now + self._chooser.latency_s(entry, now)
         in_time = arrival + LEAST_GAIN_S < self.request.target_at
-        if not in_time and self._merges and self._coverage_is_enough():
+        if not in_time and self._merges and self._rule.is_enough(self._answered):
             part.why_not_again = RepeatRefusal.TOO_LATE
             return
         if not self._may_repeat(part, now):
@@ -235,24 +235,8 @@
         )
         return part.why_not_again is None
 
-    def _coverage(self) -> Coverage:
-        return Coverage(self._answered, len(self.parts))
-
-    def _coverage_is_enough(self) -> bool:
-        return self._coverage().share >= self.route.least_coverage
-
     def _may_answer(self, now: float) -> bool:
-        """Return whether what is there may be answered although parts are missing.
-
-        Just before the target an incomplete answer is worth more than a late one;
-        after it the last parts are waited for a while.
-        """
-        if not self._merges or not self._answered or not self._coverage_is_enough():
-            return False
-        return (
-            self.request.target_at <= now < self.request.target_at + LEAST_GAIN_S * 5
-            or now >= self._late_at
-        )
+        return self._merges and self._rule.may_answer(self._answered, now)
 
     def _finish_if_done(
         self, actions: list[CallAction], now: float
@@ -266,12 +250,11 @@
         return actions
 
     def _is_hopeless(self) -> bool:
-        """Return whether no answer that may still come makes the coverage suffice."""
+        """Return whether nothing that may still come makes an answer."""
         if not self._merges:
             return not self.parts[0].is_open
         still_open = sum(part.is_open for part in self.parts)
-        most = Coverage(self._answered + still_open, len(self.parts))
-        return not still_open or most.share < self.route.least_coverage
+        return self._rule.is_hopeless(self._answered, still_open)
 
     def _is_refused_now(self) -> bool:
         """Return whether no server takes the request: its caller is told at once."""
@@ -282,14 +265,14 @@
         self.is_finished = True
         build = merged_result if self._merges else relayed_result
         outcome, reason, answers = build(
-            self.parts, self._last_reason, self._coverage_is_enough()
+            self.parts, self._last_reason, self._rule.is_enough(self._answered)
         )
         retry_after_s = RETRY_AFTER_S if outcome is CallOutcome.NOT_RUN else 0.0
         result = CallResult(
             outcome,
             reason,
             answers,
-            self._coverage(),
+            Coverage(self._answered, len(self.parts)),
             self.sends,
             self.extras,
             retry_after_s,
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -5,6 +5,7 @@
 
 from currantwharf.gateway.attempt_result import AttemptResult
 from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
+from currantwharf.gateway.cold_limit import ColdLimit
 from currantwharf.gateway.crash_watch import CrashWatch
 from currantwharf.gateway.gateway_limits import GatewayLimits
 from currantwharf.gateway.ineligible import Ineligible
@@ -35,7 +36,8 @@
 
     `region` is this instance's, `regions` maps data centres to regions. `share` is
     the part of the fleet's budgets that this instance may spend. `has_connection`
-    tells whether a request to a server would find a connection.
+    tells whether a request to a server would find a connection. `instance` is this
+    instance's name.
     """
 
     def __init__(
@@ -45,8 +47,10 @@
         region: str,
         regions: Mapping[str, str],
         rng: random.Random,
+        instance: str = "",
     ) -> None:
         self.directory = directory
+        self.cold = ColdLimit(instance)
         self.out: set[str] = set()
         self.crashes = CrashWatch()
         self.has_connection: Callable[[str], bool] = lambda server: True
@@ -68,13 +72,13 @@
 
     def set_share(self, share: float) -> None:
         """Set the part of the fleet's budgets that this instance may spend."""
-        self._share = share
+        self._share = self.cold.share = share
         allowance = self._allowance()
         for budget in self._budgets.values():
             budget.allowance = allowance
 
     def why_not(
-        self, entry: ServerEntry, route: Route, tried: Collection[str]
+        self, entry: ServerEntry, route: Route, tried: Collection[str], now: float
     ) -> Ineligible | None:
         """Return what keeps a server from a request of `route`, or None."""
         if entry.leaving:
@@ -87,6 +91,8 @@
             return Ineligible.DATA_CENTRE_OUT
         if route.regions and self._regions.get(entry.data_centre) not in route.regions:
             return Ineligible.REGION_NOT_ALLOWED
+        if self._is_cold(entry, now) and not self.cold.may_send(entry, now):
+            return Ineligible.COLD
         return None
 
     def choose(
@@ -96,7 +102,7 @@
         best: ServerEntry | None = None
         best_cost = float("inf")
         for entry in self.directory.servers_of(service).values():
-            if self.why_not(entry, route, tried) is not None:
+            if self.why_not(entry, route, tried, now) is not None:
                 continue
             cost = self._cost(entry, route, now)
             if cost < best_cost:
@@ -166,6 +172,8 @@
     def on_send(self, entry: ServerEntry, attempt: int, now: float) -> None:
         """Note a request that goes to a server."""
         self.evidence(entry).on_send(attempt, now)
+        if self._is_cold(entry, now):
+            self.cold.on_send(entry, now)
 
     def on_withdrawn(self, entry: ServerEntry, attempt: int) -> None:
         """Note that a request was withdrawn from a server."""
@@ -215,6 +223,7 @@
     def forget(self, server: str) -> None:
         """Drop the evidence of a server that is gone."""
         self._evidence.pop(server, None)
+        self.cold.forget(server)
         self._misdirected.discard(server)
 
     def evidence(self, entry: ServerEntry) -> ServerEvidence:
@@ -244,6 +253,10 @@
             cost += EJECTED_S
         return cost * (1 + JITTER * self._rng.random())
 
+    def _is_cold(self, entry: ServerEntry, now: float) -> bool:
+        evidence = self._evidence.get(entry.server)
+        return evidence is not None and now < evidence.cold_until
+
     def _round_trip_s(self, entry: ServerEntry) -> float:
         measured = self._round_trips.get(entry.data_centre)
         if measured is not None:
--- a/currantwharf/gateway/tests/test_server_choice.py
+++ b/currantwharf/gateway/tests/test_server_choice.py
@@ -92,24 +92,27 @@
     def test_reasons_against_a_server(self):
         leaving = make_entry("x", leaving=True)
         why = self.chooser.why_not
-        self.assertEqual(why(leaving, self.route, ()), Ineligible.LEAVING)
-        self.assertEqual(why(self.near, self.route, {"near"}), Ineligible.TRIED)
+        self.assertEqual(why(leaving, self.route, (), 0.0), Ineligible.LEAVING)
+        self.assertEqual(why(self.near, self.route, {"near"}, 0.0), Ineligible.TRIED)
         self.chooser.out = {NEAR}
-        self.assertEqual(why(self.near, self.route, ()), Ineligible.DATA_CENTRE_OUT)
+        self.assertEqual(
+            why(self.near, self.route, (), 0.0), Ineligible.DATA_CENTRE_OUT
+        )
         self.chooser.out = set()
         home = make_route(regions=frozenset({"taichung"}))
-        self.assertEqual(why(self.near, home, ()), Ineligible.REGION_NOT_ALLOWED)
-        self.assertIsNone(why(self.far, home, ()))
+        self.assertEqual(why(self.near, home, (), 0.0), Ineligible.REGION_NOT_ALLOWED)
+        self.assertIsNone(why(self.far, home, (), 0.0))
 
     def test_address_that_was_reused_gets_nothing_until_registered_anew(self):
         self.chooser.on_send(self.near, 1, 0.0)
         misdirected = make_answer(Verdict.MISDIRECTED, 421)
         self.chooser.on_result(misdirected, self.near, 1, 0.1)
         self.assertEqual(
-            self.chooser.why_not(self.near, self.route, ()), Ineligible.ADDRESS_REUSED
+            self.chooser.why_not(self.near, self.route, (), 0.0),
+            Ineligible.ADDRESS_REUSED,
         )
         self.chooser.on_entry(self.near, 1.0)
-        self.assertIsNone(self.chooser.why_not(self.near, self.route, ()))
+        self.assertIsNone(self.chooser.why_not(self.near, self.route, (), 0.0))
 
     def test_first_silence_counts_for_all_that_comes(self):
         now = self.learn(self.near, 0.01)
--- a/tools/gateway_slopes.py
+++ b/tools/gateway_slopes.py
@@ -30,6 +30,7 @@
 SHARDS = (10, 50, 200, 500)
 SERVERS = (100, 400, 1000, 2900)
 INSTANCES = (9, 85, 300, 710)
+DATA_CENTRES = 7  # of the target
 ANSWER = BackendAnswer(Verdict.ANSWERED, 200, (), b"x" * 400, b"signature")
 
 
@@ -72,18 +73,25 @@
 
 
 def time_hello(instances: int) -> float:
-    """Return the microseconds to make, encode, decode and take in one hello."""
-    table = PeerTable("me", "a", random.Random(1))
+    """Return the microseconds to make, encode, decode and take in one hello.
+
+    The instances are spread over `DATA_CENTRES`; what is looked up beside each hello,
+    the reader, the hubs and the share of the budgets, is counted in.
+    """
+    table = PeerTable("me", "z0", random.Random(1))
     for at in range(instances):
-        table.take(Hello(f"i{at}", "b", f"10.0.0.{at}", "a", True, True, 1), 0.0)
+        centre = f"z{at % DATA_CENTRES}"
+        table.take(Hello(f"i{at}", "b", f"10.0.0.{at}", centre, True, True, 1), 0.0)
 
     def run() -> None:
-        hello = Hello("i1", "b", "h", "a", True, True, 1, table.news(0.0))
+        news, counts = table.news("z0", 0.0), table.counts(0.0)
+        hello = Hello("i7", "b", "h", "z0", True, True, 1, news, counts=counts)
         found = decode_hello(encode_hello(hello))
         assert found is not None
         table.take(found, 0.0)
         table.reader(0.0, True)
         table.hubs(0.0, 1.0)
+        table.share(0.0, 1.0)
 
     return median_us(run)
 
