Listen for callers before the program is imported

Change: the command opens the callers' port as soon as it has read its settings, a third of the way. Connections wait in the kernel's queue and are accepted when a configuration is known, or after 0.5 s, when callers are told to come back.

--- a/currantwharf/cli/gateway_command.py
+++ b/currantwharf/cli/gateway_command.py
@@ -7,9 +7,11 @@
 
 import click
 
+from currantwharf.cli.exit_code import ExitCode
 from currantwharf.cli.loaded import loaded_or_exit
 from currantwharf.platform.names import SETTINGS_VARIABLE
 from currantwharf.platform.platform_settings import load_platform_settings
+from currantwharf.runtime.early_port import open_early
 
 
 @click.command()
@@ -28,6 +30,11 @@
     # What is imported stays; collecting garbage meanwhile only delays the start.
     gc.disable()
     settings = loaded_or_exit(load_platform_settings(path))
+    try:
+        early = open_early(settings.callers)
+    except OSError as exc:
+        click.echo(f"the callers' port can't be opened: {exc}", err=True)
+        sys.exit(ExitCode.SETTINGS)
     from twisted.internet import reactor
 
     from currantwharf.platform.platform_instance import serve
@@ -39,4 +46,4 @@
     set_up_logs("info", settings.place.instance, stream)
     gc.freeze()
     gc.enable()
-    sys.exit(serve(settings, path, reactor))
+    sys.exit(serve(settings, path, reactor, early))
--- a/currantwharf/platform/platform_instance.py
+++ b/currantwharf/platform/platform_instance.py
@@ -3,6 +3,7 @@
 import os
 import random
 import signal
+import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -23,11 +24,12 @@
 from currantwharf.platform.ready_site import answer_ready
 from currantwharf.platform.store_client import StoreClient
 from currantwharf.runtime.clock import SystemClock
+from currantwharf.runtime.early_port import BACKLOG
 from currantwharf.runtime.part_log import part_log
 
 METRICS_PORT = 9464  # the port that exporters of metrics commonly use
 METRICS_TYPE = (b"content-type", b"text/plain; version=0.0.4")
-BACKLOG = 512  # connections that wait to be accepted; a burst brings hundreds
+OPEN_AT_LATEST_S = 0.5  # seconds after the start; then callers are told to come back
 
 Handle = Callable[[HttpRequest, Responder], None]
 log = part_log("serve")
@@ -36,11 +38,17 @@
 class PlatformInstance:
     """One instance and its ports.
 
-    `metrics_port` is 0 for any free port, as in tests.
+    `metrics_port` is 0 for any free port, as in tests. `early` is a socket that
+    listens for callers already. Callers are accepted when a configuration is known, or
+    refused from `OPEN_AT_LATEST_S` on.
     """
 
     def __init__(
-        self, settings: PlatformSettings, reactor: Any, metrics_port: int = METRICS_PORT
+        self,
+        settings: PlatformSettings,
+        reactor: Any,
+        metrics_port: int = METRICS_PORT,
+        early: socket.socket | None = None,
     ) -> None:
         clock = SystemClock()
         # Twisted's timers follow the time of day by default, which may be set.
@@ -59,6 +67,8 @@
         self._reactor = reactor
         self._clock = clock
         self._metrics_port = metrics_port
+        self._early = early
+        self._is_open = False
         self._callers = CallerProtocol(
             self.gateway.entry_point,
             self.gateway.relay,
@@ -75,11 +85,13 @@
         relay = (settings.place.host, settings.place.relay_port)
         self._listen(relay, self._plain(self._callers.handle_relayed))
         self._listen(settings.ready, self._plain(self._answer_ready))
-        self._listen(settings.callers, self._caller_connection)
+        self._listen_for_callers()
 
     def start(self) -> None:
         """Begin to read and to serve."""
+        self.gateway.when_serving = self._open_to_callers
         self.gateway.start()
+        self._reactor.callLater(OPEN_AT_LATEST_S, self._open_to_callers)
         log.info("started", extra={"instance": self._settings.place.instance})
 
     def stop(self, on_stopped: Callable[[], None]) -> None:
@@ -101,6 +113,23 @@
         port = self._reactor.listenTCP(address[1], factory, BACKLOG, address[0])
         self.ports.append(port)
 
+    def _listen_for_callers(self) -> None:
+        if self._early is None:
+            self._listen(self._settings.callers, self._caller_connection)
+        else:
+            factory = Factory.forProtocol(self._caller_connection)
+            fd = self._early.fileno()
+            port = self._reactor.adoptStreamPort(fd, socket.AF_INET, factory)
+            self.ports.append(port)
+            self._early.close()
+        self.ports[-1].stopReading()
+
+    def _open_to_callers(self) -> None:
+        port = self.ports[-1]
+        if not self._is_open and port.connected:
+            self._is_open = True
+            port.startReading()
+
     def _caller_connection(self) -> CallerConnection:
         gateway = self.gateway
         conn = CallerConnection(
@@ -129,9 +158,14 @@
         responder.finish(200, (METRICS_TYPE,), self.gateway.metrics.text())
 
 
-def serve(settings: PlatformSettings, path: Path, reactor: Any) -> int:
-    """Run an instance in this process and return its exit code."""
-    instance = PlatformInstance(settings, reactor)
+def serve(
+    settings: PlatformSettings, path: Path, reactor: Any, early: socket.socket
+) -> int:
+    """Run an instance in this process and return its exit code.
+
+    `early` listens for callers already.
+    """
+    instance = PlatformInstance(settings, reactor, early=early)
     try:
         instance.listen()
     except CannotListenError as exc:
--- a/currantwharf/platform/tests/test_whole_path.py
+++ b/currantwharf/platform/tests/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from time import monotonic
 
@@ -9,8 +10,9 @@
 from twisted.internet.defer import Deferred
 
 from currantwharf.http1 import ConnectionPool, Exchange, encode_request
-from currantwharf.platform.platform_instance import PlatformInstance
+from currantwharf.platform.platform_instance import OPEN_AT_LATEST_S, PlatformInstance
 from currantwharf.platform.platform_settings import load_platform_settings
+from currantwharf.runtime.early_port import open_early
 from currantwharf.standin.platform_site import ORDERS, PlatformSite
 from currantwharf.tests.loopback import result_of, run_for, run_until
 
@@ -25,10 +27,10 @@
         self.addCleanup(folder.cleanup)
         first_port = next(FIRST_PORTS)
         self.settings = []
-        for number in (1, 2):
+        for number in (1, 2, 3):
             path = self.site.write_settings(Path(folder.name), number, first_port)
             self.settings.append(load_platform_settings(path).unwrap())
-        self.instances = [PlatformInstance(s, reactor, 0) for s in self.settings]
+        self.instances = [PlatformInstance(s, reactor, 0) for s in self.settings[:2]]
         self.pools = []
         for instance in self.instances:
             instance.listen()
@@ -189,6 +191,33 @@
             )
         )
 
+    def start_another(self, early=None):
+        """Start a third instance and return it; `early` listens for it already."""
+        instance = PlatformInstance(self.settings[2], reactor, 0, early)
+        instance.listen()
+        instance.start()
+        self.instances.append(instance)
+        return instance
+
+    def test_request_that_comes_before_the_program_waits_for_it(self):
+        early = open_early(self.settings[2].callers)
+        asked = self.ask(b"/lookup/x", 2)
+        run_for(0.1)
+        self.assertFalse(asked.called)
+        self.start_another(early)
+        self.assertEqual(result_of(asked).status, 200)
+
+    def test_instance_without_a_configuration_refuses_after_a_while(self):
+        self.site.store.fault = 503
+        cut_off = replace(self.settings[2].place, seeds=())
+        self.settings[2] = replace(self.settings[2], place=cut_off)
+        self.start_another()
+        began_at = reactor.seconds()
+        asked = self.ask(b"/lookup/x", 2)
+        answer = result_of(asked)
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(reactor.seconds() - began_at, OPEN_AT_LATEST_S - 0.1)
+
     def test_graceful_stop_cuts_off_nothing(self):
         for server in self.site.servers.values():
             server.faults.slow = 40.0
--- a/currantwharf/standin/platform_site.py
+++ b/currantwharf/standin/platform_site.py
@@ -26,7 +26,7 @@
 
 @dataclass(slots=True)
 class PlatformSite:
-    """Run a store and two servers for each of `shards` shards and for orders.
+    """Run a store and `replicas` servers for each of `shards` shards and for orders.
 
     `proxied` returns the address to publish for one that was opened, which a soak uses
     to put a proxy in between. `lookups` holds the ids of the lookups that were asked.
@@ -34,6 +34,7 @@
 
     reactor: Any
     shards: int = 4
+    replicas: int = 2
     work_s: float = 0.005
     version: int = 1
     servers: dict[str, ShardServer] = field(default_factory=dict)
@@ -48,8 +49,8 @@
         self.store = MetadataStoreStandIn(self.reactor)
         self.store_address = self.proxied(self._listen(self.store.handle))
         for service in (*self.shard_names(), ORDERS):
-            for data_centre in DATA_CENTRES:
-                self._start_server(service, data_centre)
+            for replica in range(self.replicas):
+                self._start_server(service, replica)
         self.publish()
 
     def stop(self) -> None:
@@ -144,8 +145,10 @@
 
     _entries: dict[str, tuple[str, str, str]] = field(default_factory=dict)
 
-    def _start_server(self, service: str, data_centre: str) -> None:
-        name = f"i-{service}-{data_centre}"
+    def _start_server(self, service: str, replica: int) -> None:
+        again, at = divmod(replica, len(DATA_CENTRES))
+        data_centre = list(DATA_CENTRES)[at]
+        name = f"i-{service}-{data_centre}" + (f"-{again}" if again else "")
         server = ShardServer(self.reactor, name, 2, self.work_s)
         self.servers[name] = server
         address = self.proxied(self._listen(server.handle))
--- a/currantwharf/tests/soak/soak.py
+++ b/currantwharf/tests/soak/soak.py
@@ -23,6 +23,7 @@
 from currantwharf.tests.soak.soak_oracle import SoakOracle
 
 GATEWAYS = 3
+GATEWAYS_WITH_HUBS = 14  # so many have a hub in each of the two data centres
 CALLERS = 12  # callers with a connection of their own
 PAUSE_S = 0.05  # seconds between two requests of a caller
 RECOVERY_S = 12.0  # seconds in which everything serves again
@@ -33,11 +34,13 @@
 class Soak:
     """Hold the site, the processes and the faults of one seed."""
 
-    def __init__(self, seed, first_port, folder):
+    def __init__(self, seed, first_port, folder, gateways=GATEWAYS):
         reactor.seconds = SystemClock().now
         self.rng = random.Random(seed)
         self.proxies = []
-        self.site = PlatformSite(reactor, proxied=self.put_proxy)
+        # A third server shows requests that run on more servers than they may.
+        replicas = 3 if gateways >= GATEWAYS_WITH_HUBS else 2
+        self.site = PlatformSite(reactor, replicas=replicas, proxied=self.put_proxy)
         self.site.start()
         self.oracle = SoakOracle(self.site)
         self.first_port = first_port
@@ -48,7 +51,7 @@
         self.gateways = []
         # Soaks that run at the same time have addresses of their own.
         network = f"127.0.{1 + seed % 250}"
-        for number in range(1, GATEWAYS + 1):
+        for number in range(1, gateways + 1):
             settings = self.site.write_settings(folder, number, first_port, network)
             host = f"{network}.{number + 1}"
             self.gateways.append(GatewayProcess(settings, host))
@@ -265,10 +268,10 @@
         pool.send(exchange)
 
 
-def run_soak(seed, seconds, first_port, keep_in=None):
+def run_soak(seed, seconds, first_port, keep_in=None, gateways=GATEWAYS):
     """Run one seed and return its violations, outcomes and events."""
     folder = tempfile.TemporaryDirectory()
-    soak = Soak(seed, first_port, Path(folder.name))
+    soak = Soak(seed, first_port, Path(folder.name), gateways)
     try:
         soak.run(seconds)
     except DidNotComeAboutError:
--- a/currantwharf/tests/soak/soak_oracle.py
+++ b/currantwharf/tests/soak/soak_oracle.py
@@ -5,6 +5,8 @@
 from currantwharf.gateway.merge_records import merge_records
 from currantwharf.standin.shard_server import answer_body
 
+MOST_SERVERS = 2  # of a shard that may run one lookup, as the route declares
+MOST_OVERRUN = 3  # lookups that may run on more, as on servers that were lost
 PROMISES = (b"429", b"503", b"408", b"421")  # statuses that say not run
 
 
@@ -63,8 +65,19 @@
                 self.violations.append(f"{request_id}: ran {count} times")
             if str(self.orders[request_id]).encode() in PROMISES:
                 self.violations.append(f"{request_id}: ran, though called not run")
+        self._check_attempts()
         asked = {*self.orders, *self.site.lookups}
         for name, server in self.site.servers.items():
             unasked = set(server.runs) - asked - {""}
             if unasked:
                 self.violations.append(f"{name}: ran unasked {sorted(unasked)[:3]}")
+
+    def _check_attempts(self):
+        """Check that lookups ran on no more servers of a shard than they may."""
+        servers = Counter()
+        for name, server in self.site.servers.items():
+            for request_id in set(server.runs) & self.site.lookups:
+                servers[request_id, self.site.service_of(name)] += 1
+        over = {asked for (asked, _), count in servers.items() if count > MOST_SERVERS}
+        if len(over) > MOST_OVERRUN:
+            self.violations.append(f"{len(over)} lookups on too many servers: {over}")
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -16,12 +16,13 @@
 @click.option("--first", default=1, help="First seed.")
 @click.option("--seconds", default=10.0, help="Seconds of faults for each seed.")
 @click.option("--port", default=26000, help="First of the ports used.")
-def main(seeds: int, first: int, seconds: float, port: int) -> None:
+@click.option("--gateways", default=3, help="Processes; 14 or more have hubs.")
+def main(seeds: int, first: int, seconds: float, port: int, gateways: int) -> None:
     """Run the soak and tell which seeds broke a promise."""
     failed = 0
     for seed in range(first, first + seeds):
         first_port = port + 20 * (seed % 100)
-        found = run_soak(seed, seconds, first_port, Path("target/soak"))
+        found = run_soak(seed, seconds, first_port, Path("target/soak"), gateways)
         violations, outcomes, _ = found
         click.echo(f"seed {seed}: {len(violations)} violations, {dict(outcomes)}")
         for violation in violations[:10]:
