--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -66,9 +66,12 @@
         self._misdirected: set[str] = set()
 
     def set_limits(self, limits: GatewayLimits) -> None:
-        """Set the fleet's budgets."""
+        """Set the fleet's budgets; what was spent of them stays spent."""
         self._limits = limits
-        self._budgets.clear()
+        share, allowance, window_s = self._budget_limits()
+        for budget in self._budgets.values():
+            budget.share, budget.allowance = share, allowance
+            budget.window_s = window_s
 
     def set_share(self, share: float) -> None:
         """Set the part of the fleet's budgets that this instance may spend."""
@@ -270,10 +273,13 @@
     def _budget(self, service: str) -> ExtraBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            share = self._limits.repeat_ratio * BUDGET_SHARE
-            budget = ExtraBudget(share, self._allowance(), self._limits.repeat_window_s)
+            budget = ExtraBudget(*self._budget_limits())
             self._budgets[service] = budget
         return budget
 
+    def _budget_limits(self) -> tuple[float, float, float]:
+        share = self._limits.repeat_ratio * BUDGET_SHARE
+        return share, self._allowance(), self._limits.repeat_window_s
+
     def _allowance(self) -> float:
         return self._limits.repeat_slack * BUDGET_SHARE * self._share
--- a/currantwharf/gateway/tests/test_server_choice.py
+++ b/currantwharf/gateway/tests/test_server_choice.py
@@ -89,6 +89,16 @@
         self.chooser.begin("camphor", 5.0)
         self.assertIsNone(prepare("camphor", self.route, {"near"}, 5.0))
 
+    def test_reload_gives_no_new_budget(self):
+        limits = GatewayLimits(repeat_ratio=0.0, repeat_slack=4.0)
+        self.chooser.set_limits(limits)
+        self.chooser.set_share(1.0)
+        repeat = self.chooser.why_not_repeat
+        allowed = [repeat("camphor", "f", 0.0) for _ in range(8)].count(None)
+        self.assertEqual(allowed, 3)
+        self.chooser.set_limits(limits)
+        self.assertIs(repeat("camphor", "f", 1.0), RepeatRefusal.BUDGET_SPENT)
+
     def test_reasons_against_a_server(self):
         leaving = make_entry("x", leaving=True)
         why = self.chooser.why_not
