Let nothing wait for a connection whose part is answered or whose server is another

A lost server's address had gone to a server of that shard; 79 requests for the lost one, which had waited for a connection to the dark address while hedges answered their parts, were written to it one by one and rejected with 421.

Change: when a part is answered, or its call ends, its attempts that still wait for a connection are withdrawn; when a server turns out to be another, all that waits for it is.

Tests: three, which failed before.

--- a/currantwharf/gateway/call_actions.py
+++ b/currantwharf/gateway/call_actions.py
@@ -22,6 +22,13 @@
     entry: ServerEntry
 
 
+@dataclass(frozen=True, slots=True)
+class WithdrawUnsent:
+    """Give an attempt up if it still waits for a connection: its part is answered."""
+
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class FinishCall:
     """Answer the caller; nothing more is sent for the request."""
@@ -29,4 +36,4 @@
     result: CallResult
 
 
-CallAction = SendAttempt | PrepareServer | FinishCall
+CallAction = SendAttempt | PrepareServer | WithdrawUnsent | FinishCall
--- a/currantwharf/gateway/calls.py
+++ b/currantwharf/gateway/calls.py
@@ -4,13 +4,14 @@
 from typing import Any
 
 from currantwharf.gateway.attempt_result import AttemptResult
-from currantwharf.gateway.backend_answer import BackendAnswer
+from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
 from currantwharf.gateway.backend_wire import BackendWire
 from currantwharf.gateway.call_actions import (
     CallAction,
     FinishCall,
     PrepareServer,
     SendAttempt,
+    WithdrawUnsent,
 )
 from currantwharf.gateway.call_log import log_failed_attempt
 from currantwharf.gateway.call_result import CallResult
@@ -111,9 +112,13 @@
                 self._send(call, action)
             elif isinstance(action, PrepareServer):
                 self._pools.get(action.entry).prepare()
+            elif isinstance(action, WithdrawUnsent):
+                entry, exchange = call.exchanges[action.attempt]
+                self._pools.get(entry).withdraw_unsent(exchange)
         for action in actions:
             if isinstance(action, FinishCall) and call in self.running:
                 self._end(call)
+                self._withdraw_unsent(call)
                 call.on_result(action.result)
                 self._on_result(call.run, action.result, now)
 
@@ -141,6 +146,9 @@
         self._watch_for_crash(call, entry, known, now)
         if not isinstance(known, BackendAnswer) or not known.is_success:
             log_failed_attempt(call.run, attempt, entry, known, now)
+        if isinstance(known, BackendAnswer) and known.verdict is Verdict.MISDIRECTED:
+            # What waits for a connection would reach the wrong server as well.
+            self._pools.get(entry).withdraw_all_unsent()
         actions = call.run.take(attempt, known, now)
         if actions:
             self._do(call, actions, now)
@@ -179,6 +187,10 @@
             call.timer.cancel()
             call.timer = None
 
+    def _withdraw_unsent(self, call: Call) -> None:
+        for entry, exchange in list(call.exchanges.values()):
+            self._pools.get(entry).withdraw_unsent(exchange)
+
     def _withdraw_all(self, call: Call) -> None:
         for entry, exchange in list(call.exchanges.values()):
             self._pools.get(entry).withdraw(exchange, ConnectionFailure.TIMED_OUT)
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -13,6 +13,7 @@
     FinishCall,
     PrepareServer,
     SendAttempt,
+    WithdrawUnsent,
 )
 from currantwharf.gateway.call_outcome import (
     did_not_run,
@@ -130,6 +131,7 @@
             part.answer = result
             part.arrived = True
             self._answered += 1
+            actions.extend(WithdrawUnsent(other) for other in part.attempts)
             if self._answered == len(self.parts):
                 return self._finish(actions)
             return actions
--- a/currantwharf/gateway/tests/test_calls.py
+++ b/currantwharf/gateway/tests/test_calls.py
@@ -21,6 +21,7 @@
         self.sent = []
         self.withdrawn = []
         self.prepared = 0
+        self.unsent = []
 
     def get(self, entry):
         return self
@@ -32,6 +33,15 @@
         self.withdrawn.append(exchange)
         exchange.finish(failure)
 
+    def withdraw_unsent(self, exchange):
+        if exchange in self.unsent:
+            self.unsent.remove(exchange)
+            exchange.finish(ConnectionFailure.NOT_SENT)
+
+    def withdraw_all_unsent(self):
+        for exchange in list(self.unsent):
+            self.withdraw_unsent(exchange)
+
     def prepare(self):
         self.prepared += 1
 
@@ -78,6 +88,27 @@
         self.assertEqual(self.pools.prepared, 1)
         self.assertEqual(len(self.pools.sent), 2)
 
+    def test_attempt_that_waits_is_dropped_when_its_part_is_answered(self):
+        self.start()
+        first = self.pools.sent[0]
+        self.pools.unsent = [first]
+        self.clock.advance(0.12)
+        hedge = self.pools.sent[1]
+        hedge.finish(self.answer())
+        self.assertTrue(first.is_done)
+        self.assertEqual(len(self.results), 1)
+
+    def test_what_waits_for_a_misdirected_server_goes_elsewhere(self):
+        self.start()
+        self.start()
+        first, second = self.pools.sent
+        self.pools.unsent = [second]
+        headers = ((b"x-request-id", b"r1"),)
+        first.finish(HttpAnswer(421, headers, b""))
+        self.assertTrue(second.is_done)
+        self.assertEqual(len(self.pools.sent), 4)
+        self.assertEqual(self.results, [])
+
     def test_work_for_a_caller_who_left_is_withdrawn_soon(self):
         call = self.start()
         self.calls.leave(call)
--- a/currantwharf/http1/connection_pool.py
+++ b/currantwharf/http1/connection_pool.py
@@ -81,6 +81,18 @@
             self._waiting.remove(exchange)
         exchange.finish(ConnectionFailure.NOT_SENT)
 
+    def withdraw_unsent(self, exchange: Exchange) -> None:
+        """Give an exchange up if it still waits for a connection."""
+        if exchange in self._waiting:
+            self._waiting.remove(exchange)
+            exchange.finish(ConnectionFailure.NOT_SENT)
+
+    def withdraw_all_unsent(self) -> None:
+        """Give up every exchange that waits for a connection."""
+        waiting, self._waiting = self._waiting, deque()
+        for exchange in waiting:
+            exchange.finish(ConnectionFailure.NOT_SENT)
+
     def prepare(self) -> None:
         """Open a connection if there is none."""
         if not self._open and not self._connecting:
--- a/currantwharf/http1/tests/test_connection_pool.py
+++ b/currantwharf/http1/tests/test_connection_pool.py
@@ -64,6 +64,18 @@
         self.pool.withdraw(exchange, ConnectionFailure.TIMED_OUT)
         self.assertEqual(self.results, [ConnectionFailure.NOT_SENT])
 
+    def test_only_what_waits_is_withdrawn_as_unsent(self):
+        written, waiting, other = (self.exchange() for _ in range(3))
+        for exchange in (written, waiting, other):
+            self.pool.send(exchange)
+        self.connect()
+        self.pool.withdraw_unsent(written)
+        self.assertEqual(self.results, [])
+        self.pool.withdraw_unsent(waiting)
+        self.pool.withdraw_all_unsent()
+        self.assertEqual(self.results, [ConnectionFailure.NOT_SENT] * 2)
+        self.assertFalse(written.is_done)
+
     def test_withdrawn_under_way_may_have_run(self):
         exchange = self.exchange()
         self.pool.send(exchange)
