Keep a server cold until its warm-up ends; log a hub's late answers where they came in

Cause: found by reading: an answer without X-Warmup-Ms ended a server's warm-up, though only health answers and registrations tell of it, so the limit of cold servers ended with the first answer. And a query that a hub answered late left no line at the instance that its caller had asked, so its id did not lead there.

Change: an answer that says nothing of a warm-up changes nothing. A hub's answer that is late here is logged with the hub; currantwharf explain shows it, and hubs that failed.

Tests: three; they failed before.

--- a/currantwharf/gateway/explain.py
+++ b/currantwharf/gateway/explain.py
@@ -34,6 +34,8 @@
             f"{head}: {line['result']}{status}"
             f" at {line['server']} of {line['service']}, {line['after_ms']} ms in"
         )
+    if "hub" in line:
+        return f"{head}: {_describe_hub(line)}"
     if "elapsed_ms" not in line:
         return f"{head}: {line['reason']}" if "reason" in line else head
     late = -float(line["target_left_ms"])
@@ -51,6 +53,15 @@
     return "\n".join(texts)
 
 
+def _describe_hub(line: Line) -> str:
+    if "late_ms" in line:
+        return (
+            f"by hub {line['hub']} with status {line['status']},"
+            f" {line['after_ms']} ms in, {line['late_ms']} ms late"
+        )
+    return f"{line['result']} at hub {line['hub']}, query {line['query']}"
+
+
 def _describe_part(part: dict[str, Any]) -> str:
     waiting = ", ".join(
         f"{server} for {waited} ms" for server, waited in part["under_way"].items()
--- a/currantwharf/gateway/relay.py
+++ b/currantwharf/gateway/relay.py
@@ -27,6 +27,7 @@
 RATE_WINDOW_S = 5.0  # seconds over which queries are counted
 CONNECT_TIMEOUT_S = 0.1  # seconds; a hub is within a millisecond
 ACKNOWLEDGED_S = 0.06  # seconds in which a hub says that it has a query
+LATE_S = 0.003  # seconds past the target that are kept in hand for the way
 AVOID_S = 3.0  # seconds for which a hub that failed is not used
 MOST_CONNECTIONS = 16  # queries under way at one hub
 
@@ -98,6 +99,7 @@
             elif result.status == 503:
                 on_answer(RelayFailure.NOT_TAKEN)
             else:
+                self._log_if_late(request, hub, result.status)
                 on_answer(result)
 
         def check() -> None:
@@ -130,6 +132,20 @@
         self._rate *= max(0.0, 1 - elapsed / RATE_WINDOW_S)
         self._rate += 1 / RATE_WINDOW_S
 
+    def _log_if_late(self, request: GatewayRequest, hub: str, status: int) -> None:
+        """Log an answer that was late here; the hub logs what became of the query."""
+        now = self._clock.now()
+        late_s = now - request.target_at
+        if late_s > LATE_S:
+            fields = {
+                "request_id": request.request_id,
+                "hub": hub,
+                "status": status,
+                "after_ms": round((now - request.arrived_at) * 1000, 1),
+                "late_ms": round(late_s * 1000, 1),
+            }
+            log.info("answered late", extra=fields)
+
     def _pool(self, hub: str) -> ConnectionPool:
         pool = self._pools.get(hub)
         if pool is None:
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -206,7 +206,8 @@
         self, result: BackendAnswer, entry: ServerEntry, attempt: int, now: float
     ) -> None:
         evidence = self.evidence(entry)
-        evidence.cold_until = now + result.warm_up_s if result.warm_up_s else 0.0
+        if result.warm_up_s:
+            evidence.cold_until = now + result.warm_up_s
         if result.verdict is Verdict.ANSWERED:
             latency_s = evidence.on_answer(attempt, now)
             if latency_s is not None:
--- a/currantwharf/gateway/tests/test_cold_limit.py
+++ b/currantwharf/gateway/tests/test_cold_limit.py
@@ -71,6 +71,17 @@
         self.assertIs(why, Ineligible.COLD)
         self.assertIsNone(chooser.why_not(entry, route, (), first + 1.01))
 
+    def test_answer_that_says_nothing_of_it_does_not_end_the_warm_up(self):
+        entry = make_entry("near", warm_up_s=3.0)
+        chooser = make_chooser([entry])
+        chooser.cold.rate_of = lambda service: 10.0
+        chooser.set_share(0.001)
+        chooser.on_entry(entry, 0.0)
+        chooser.on_send(entry, 0, 0.0)
+        chooser.on_result(make_answer(), entry, 0, 0.01)
+        why = chooser.why_not(entry, make_route(), (), 1.0)
+        self.assertIs(why, Ineligible.COLD)
+
     def test_server_that_turns_cold_again_says_so_in_an_answer(self):
         entry = make_entry("near")
         chooser = make_chooser([entry])
--- a/currantwharf/gateway/tests/test_explain.py
+++ b/currantwharf/gateway/tests/test_explain.py
@@ -34,6 +34,20 @@
             lines = find_lines(request_id, [self.path])
             self.assertEqual("\n".join(map(describe, lines)), text.rstrip("\n"))
 
+    def test_lines_of_queries_at_a_hub(self):
+        common = {"time": "1", "instance": "i", "hub": "10.0.0.9"}
+        late = {"status": 200, "after_ms": 180.2, "late_ms": 13.1}
+        failed = {"result": "timed_out", "query": "unconfirmed"}
+        self.assertEqual(
+            describe({**common, "message": "relay: answered late", **late}),
+            "1 i relay: answered late: by hub 10.0.0.9 with status 200,"
+            " 180.2 ms in, 13.1 ms late",
+        )
+        self.assertEqual(
+            describe({**common, "message": "relay: hub failed", **failed}),
+            "1 i relay: hub failed: timed_out at hub 10.0.0.9, query unconfirmed",
+        )
+
     def test_lines_of_several_files_in_their_order(self):
         other = self.path.with_suffix(".2")
         late = {"time": "2", "message": "call: answered", "request_id": "r"}
--- a/currantwharf/gateway/tests/test_relay.py
+++ b/currantwharf/gateway/tests/test_relay.py
@@ -93,6 +93,16 @@
         hub.dataReceived(ANSWER)
         self.assertEqual(self.answers[0].status, 200)
 
+    def test_late_answer_of_a_hub_is_logged_here(self):
+        self.send()
+        hub = self.connect()
+        hub.dataReceived(INTERIM)
+        self.reactor.advance(0.3)
+        with self.assertLogs("currantwharf", "INFO") as logs:
+            hub.dataReceived(ANSWER)
+        self.assertEqual(logs.records[0].late_ms, 150.0)
+        self.assertEqual(logs.records[0].request_id, "r1")
+
     def test_hub_that_is_lost_with_a_query_may_have_run_it(self):
         self.send()
         hub = self.connect()
