Log where an instance's changes came from, and when it is behind others

A configuration that one instance handles late can come from a stale first read whose revision is too new, from a watch or poll that skips a change, or from a fetch that never ends. The log could not tell these apart: it named neither the way on which a change came nor an instance that knows that it is behind. Each logged change now has its source, each whole read its revision, and an instance that peers have told of newer changes says so after 1.5 s.

--- a/currantwharf/gateway/change_log.py
+++ b/currantwharf/gateway/change_log.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatch
 
+from currantwharf.gateway.change_source import ChangeSource
 from currantwharf.gateway.changes import RevisedChange
 from currantwharf.gateway.store_change import (
     ConfigChanged,
@@ -17,22 +18,23 @@
 log = component_logger("registry")
 
 
-def log_changes(changes: list[RevisedChange]) -> None:
+def log_changes(changes: list[RevisedChange], source: ChangeSource) -> None:
     """Log each of the first server changes, and the number of the others.
 
     A change of the configuration or of a data centre is always logged.
     """
+    origin = {"source": source.value}
     server_changes = 0
     for change in changes:
         is_server = isinstance(change.change, ServerChanged | ServerRemoved)
         server_changes += is_server
         if not is_server or server_changes <= MAX_LOGGED_SERVER_CHANGES:
             message, fields = _describe(change.change)
-            log.info(message, extra={"revision": change.revision, **fields})
+            log.info(message, extra={"revision": change.revision, **fields, **origin})
     if server_changes > MAX_LOGGED_SERVER_CHANGES:
         log.info(
             "servers changed",
-            extra={"more": server_changes - MAX_LOGGED_SERVER_CHANGES},
+            extra={"more": server_changes - MAX_LOGGED_SERVER_CHANGES, **origin},
         )
 
 
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -15,10 +15,12 @@
 from currantwharf.gateway.call_result import CallResult
 from currantwharf.gateway.call_runner import CallRunner
 from currantwharf.gateway.change_log import log_changes
+from currantwharf.gateway.change_source import ChangeSource
 from currantwharf.gateway.changes import RevisedChange
 from currantwharf.gateway.entry_point import EntryPoint
 from currantwharf.gateway.gateway_limits import GatewayLimits
 from currantwharf.gateway.instance_info import InstanceInfo
+from currantwharf.gateway.lag_watch import LagWatch
 from currantwharf.gateway.metadata_store import MetadataStore
 from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.registry_task import RegistryTask
@@ -156,6 +158,7 @@
             self._is_relearning,
         )
         self._sweep = RepeatingTask(reactor, "sweep", self._on_sweep)
+        self._lag_watch = LagWatch()
         self._shares = 0.0, 0.0
         self._paused_at = -1e9
         self._started_at = clock.now()
@@ -219,7 +222,9 @@
             self.peers.send_to_all()
         for server in self.registry.expire(now):
             self._forget_server(server)
-        self.registry_task.check_watch_lag(self.peer_table.newest_revision())
+        newest_revision = self.peer_table.newest_revision()
+        self.registry_task.check_watch_lag(newest_revision)
+        self._report_lag(newest_revision, now)
         self._update_shares(now)
         self.calls.sweep(now)
         self.pools.sweep(now)
@@ -230,6 +235,21 @@
             # The last answers may still be in the write buffers.
             self._reactor.callLater(FINAL_WRITE_DELAY_S, self._on_stopped)
 
+    def _report_lag(self, newest_revision: int, now: float) -> None:
+        revision = self.registry.revision
+        lag_s = self._lag_watch.observe(revision, newest_revision, now)
+        if lag_s:
+            fields = {
+                "seconds": round(lag_s, 2),
+                "revision": revision,
+                "newest": newest_revision,
+                "version": self.entry_point.config_version,
+                "is_fetching": self.peers.is_fetching,
+                "can_read": self.registry_task.can_read,
+            }
+            log.warning("behind other instances", extra=fields)
+            self.metrics.count_event("lags")
+
     def _update_shares(self, now: float) -> None:
         """Update this instance's share of the fleet's budgets and connections."""
         budget_share = connection_share = self.peer_table.budget_share(now, self._cores)
@@ -307,12 +327,14 @@
             self._clock.now()
         )
 
-    def _on_store_changes(self, changes: list[RevisedChange]) -> None:
-        self._on_changes(changes)
+    def _on_store_changes(
+        self, changes: list[RevisedChange], source: ChangeSource
+    ) -> None:
+        self._on_changes(changes, source)
         self.peers.announce_change()
 
-    def _on_changes(self, changes: list[RevisedChange]) -> None:
-        log_changes(changes)
+    def _on_changes(self, changes: list[RevisedChange], source: ChangeSource) -> None:
+        log_changes(changes, source)
         for change in changes:
             store_change = change.change
             if not isinstance(store_change, ServerRemoved):
--- a/currantwharf/gateway/registry_task.py
+++ b/currantwharf/gateway/registry_task.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.python.failure import Failure
 
+from currantwharf.gateway.change_source import ChangeSource
 from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
 from currantwharf.gateway.metadata_store import MetadataStore, StoreFailure
 from currantwharf.gateway.registry import Registry
@@ -55,7 +56,7 @@
         store: MetadataStore,
         registry: Registry,
         is_reader: Callable[[], bool],
-        on_changes: Callable[[list[RevisedChange]], None],
+        on_changes: Callable[[list[RevisedChange], ChangeSource], None],
         on_backoff: Callable[[], None],
         get_fleet_size: Callable[[], int],
         has_recent_store_failure: Callable[[], bool],
@@ -142,7 +143,13 @@
         assert isinstance(result, StoreSnapshot)
         is_current, self._may_be_stale = not self._may_be_stale, False
         self._on_store_answer()
-        self._on_changes(self._registry.apply_snapshot(result, self._clock.now()))
+        changes = self._registry.apply_snapshot(result, self._clock.now())
+        source = ChangeSource.READ if is_current else ChangeSource.STALE_READ
+        log.info(
+            "read the whole store",
+            extra={"revision": result.revision, "source": source.value},
+        )
+        self._on_changes(changes, source)
         if is_current:
             self._registry.confirm(result.revision)
         return True
@@ -163,7 +170,7 @@
         self._on_store_answer()
         changes = self._registry.apply_events(result, self._clock.now())
         if changes:
-            self._on_changes(changes)
+            self._on_changes(changes, ChangeSource.WATCH)
         self._registry.confirm(result.revision)
         if result.changes:
             await self._wait(WATCH_INTERVAL_S)
@@ -217,7 +224,7 @@
             changes = self._registry.apply_events(result, self._clock.now())
             if changes:
                 log.info("spot check found changes", extra={"count": len(changes)})
-                self._on_changes(changes)
+                self._on_changes(changes, ChangeSource.SPOT_CHECK)
 
     def _back_off(self, now: float) -> None:
         """Leave the reading to another instance for `READER_BACKOFF_S` seconds."""
--- a/currantwharf/gateway/tests/test_gateway.py
+++ b/currantwharf/gateway/tests/test_gateway.py
@@ -64,6 +64,15 @@
         self.reactor.advance(FLEET_DISCOVERY_S + 5)
         self.assertEqual(self.budget_share(), 1 / GatewayLimits().assumed_fleet_size)
 
+    def test_a_lag_behind_peers_is_logged_once_with_what_explains_it(self):
+        self.receive_hellos("x")
+        with self.assertLogs("currantwharf", "WARNING") as logs:
+            for _ in range(12):
+                self.reactor.advance(0.25)
+        behind = [line for line in logs.records if "behind" in line.getMessage()]
+        self.assertEqual(len(behind), 1)
+        self.assertEqual((behind[0].revision, behind[0].newest), (0, 1))
+
     def find_route(self):
         return self.gateway.entry_point.find_route(b"a.example", b"/lookup/x", "r1")
 
--- a/currantwharf/peers/peer_task.py
+++ b/currantwharf/peers/peer_task.py
@@ -9,6 +9,7 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from currantwharf.documents.decode_errors import DECODE_ERRORS
+from currantwharf.gateway.change_source import ChangeSource
 from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
 from currantwharf.gateway.instance_info import InstanceInfo
 from currantwharf.gateway.registry import Registry
@@ -59,7 +60,8 @@
     store; `get_crash_reports` returns the reports to send. `on_changes` is called with
     the new changes received from a peer, `on_server_reports` with what it has found of
     servers, `on_crash_reports` with its crash reports.
-    `heard_at` is the monotonic time of the last hello received.
+    `heard_at` is the monotonic time of the last hello received; `is_fetching` is true
+    while changes are fetched from a peer.
     """
 
     transport: Any
@@ -74,7 +76,7 @@
         registry: Registry,
         get_status: Callable[[], tuple[bool, bool]],
         get_crash_reports: Callable[[], tuple[CrashReport, ...]],
-        on_changes: Callable[[list[RevisedChange]], None],
+        on_changes: Callable[[list[RevisedChange], ChangeSource], None],
         on_server_reports: Callable[[tuple[ServerReport, ...]], None],
         on_crash_reports: Callable[[tuple[CrashReport, ...]], None],
         rng: random.Random,
@@ -92,7 +94,7 @@
         self._on_server_reports = on_server_reports
         self._rng = rng
         self.heard_at = -1e9
-        self._is_fetching = False
+        self.is_fetching = False
         self._round_count = 0
         self._started_at = clock.now()
         self._rounds = RepeatingTask(reactor, "gossip", self._on_round)
@@ -173,7 +175,7 @@
             self._on_crash_reports(hello.losses)
         old_revision = self._registry.revision
         if hello.events is not None and hello.events.after <= old_revision:
-            self._apply(hello.events)
+            self._apply(hello.events, ChangeSource.HELLO)
         if hello.is_serving:
             self._registry.confirm(hello.revision)
         if hello.revision > self._registry.revision:
@@ -276,9 +278,9 @@
         self._reactor.callLater(delay_s, self._fetch, hello.host, hello.revision)
 
     def _fetch(self, host: str, revision: int) -> None:
-        if self._is_fetching or self._registry.revision >= revision:
+        if self.is_fetching or self._registry.revision >= revision:
             return
-        self._is_fetching = True
+        self.is_fetching = True
         pool = ConnectionPool(
             self._reactor, self._clock.now, (host, self._instance_info.fetch_port), 1
         )
@@ -286,7 +288,7 @@
         data = encode_request(b"GET", target, [(b"host", host.encode())])
 
         def finish(result: HttpResponse | ConnectionFailure) -> None:
-            self._is_fetching = False
+            self.is_fetching = False
             if timer.active():
                 timer.cancel()
             pool.close()
@@ -321,9 +323,9 @@
                 extra={"from": host, "why": str(exc)},
             )
             return
-        self._apply(found)
+        self._apply(found, ChangeSource.FETCH)
 
-    def _apply(self, found: StoreEvents | StoreSnapshot) -> None:
+    def _apply(self, found: StoreEvents | StoreSnapshot, source: ChangeSource) -> None:
         now = self._clock.now()
         old_revision = self._registry.revision
         if isinstance(found, StoreSnapshot):
@@ -331,6 +333,6 @@
         else:
             changes = self._registry.apply_events(found, now)
         if changes:
-            self._on_changes(changes)
+            self._on_changes(changes, source)
         if self._registry.revision > old_revision:
             self.announce_change()
--- a/currantwharf/peers/tests/test_peer_task.py
+++ b/currantwharf/peers/tests/test_peer_task.py
@@ -76,7 +76,7 @@
             Registry(chooser.directory, chooser),
             lambda: (True, True),
             lambda: self.crash_reports.get(name, ()),
-            lambda changes: None,
+            lambda changes, source: None,
             lambda reports: self.server_reports.append((name, reports)),
             lambda reports: self.crash_reports.update({f"heard by {name}": reports}),
             random.Random(name),
