--- a/currantwharf/gateway/backend_answer.py
+++ b/currantwharf/gateway/backend_answer.py
@@ -20,7 +20,9 @@
 class BackendAnswer:
     """An answer, with the server's proof in `signature` that the answer is its own.
 
-    `warm_up_s` is how long the server says that it will stay cold, in seconds.
+    `warm_up_s` is how long the server says that it will stay cold, in seconds, and
+    `limit_per_s` the limit that it names on the requests of all instances together, in
+    requests per second; None if it names none.
     """
 
     verdict: Verdict
@@ -29,6 +31,7 @@
     body: bytes
     signature: bytes = b""
     warm_up_s: float = 0.0
+    limit_per_s: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -106,6 +106,7 @@
         self.chooser.sharing.on_pending = lambda: reactor.callLater(
             SHARING_DELAY_S, self._share_evidence
         )
+        self.chooser.server_limits.on_change = self._on_limit_change
         self.registry = Registry(directory, self.chooser)
         self.registry.on_confirmed = self._start_serving
         self.pools = ServerPools(
@@ -276,6 +277,10 @@
             is_near = region == self._regions.get(self._data_centre)
             self.peers.send_reports(reports if is_near else slow, data_centre)
 
+    def _on_limit_change(self, server: str, limit_per_s: float | None) -> None:
+        event = "limits_lifted" if limit_per_s is None else "limits_named"
+        self.metrics.count_event(event)
+
     def _on_server_reports(self, reports: tuple[ServerReport, ...]) -> None:
         now = self._clock.now()
         for report in reports:
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -20,6 +20,7 @@
 from currantwharf.gateway.server_directory import ServerDirectory
 from currantwharf.gateway.server_entry import ServerEntry
 from currantwharf.gateway.server_evidence import ServerEvidence
+from currantwharf.gateway.server_limits import ServerLimits
 from currantwharf.gateway.server_report import ServerReport
 from currantwharf.gateway.service_evidence import ServiceEvidence
 from currantwharf.http1 import ConnectionFailure
@@ -61,6 +62,7 @@
     ) -> None:
         self.directory = directory
         self.cold_limit = ColdLimit(instance)
+        self.server_limits = ServerLimits()
         self.excluded_data_centres: set[str] = set()
         self.crash_watch = CrashWatch()
         self.sharing = EvidenceSharing()
@@ -270,6 +272,7 @@
         self, result: BackendAnswer, entry: ServerEntry, attempt: int, now: float
     ) -> None:
         evidence = self.get_evidence(entry)
+        self._update_limit(result, entry)
         if result.warm_up_s:
             evidence.cold_until = now + result.warm_up_s
         if result.verdict is Verdict.ANSWERED:
@@ -286,6 +289,18 @@
             self._misdirected_servers.add(entry.server)
         evidence.on_failure(attempt, now)
 
+    def _update_limit(self, answer: BackendAnswer, entry: ServerEntry) -> None:
+        """Record the limit that an answer names, or that it names none any more.
+
+        Only an answer of the server's own shows that a limit has ended.
+        """
+        if answer.verdict in (Verdict.MISDIRECTED, Verdict.SPOILED):
+            return
+        if answer.limit_per_s is not None:
+            self.server_limits.set_limit(entry.server, answer.limit_per_s)
+        elif answer.verdict is Verdict.ANSWERED:
+            self.server_limits.lift(entry.server)
+
     def on_registration(self, entry: ServerEntry, now: float) -> None:
         """Record a new or changed registration of a server."""
         self._misdirected_servers.discard(entry.server)
@@ -296,6 +311,7 @@
         """Delete the evidence about a server that is gone."""
         self._evidence_by_server.pop(server, None)
         self.cold_limit.forget(server)
+        self.server_limits.forget(server)
         self.sharing.forget(server)
         self._misdirected_servers.discard(server)
 
--- a/currantwharf/http1/__init__.py
+++ b/currantwharf/http1/__init__.py
@@ -10,7 +10,11 @@
 from currantwharf.http1.connection_pool import ConnectionPool
 from currantwharf.http1.encode import encode_headers, encode_request, encode_response
 from currantwharf.http1.exchange import Exchange, ExchangeResult
-from currantwharf.http1.header_values import parse_count, parse_signed_count
+from currantwharf.http1.header_values import (
+    parse_count,
+    parse_decimal,
+    parse_signed_count,
+)
 from currantwharf.http1.memory_budget import MemoryBudget
 from currantwharf.http1.message import (
     Header,
@@ -47,5 +51,6 @@
     "select_end_to_end_headers",
     "find_header",
     "parse_count",
+    "parse_decimal",
     "parse_signed_count",
 ]
--- a/currantwharf/http1/header_values.py
+++ b/currantwharf/http1/header_values.py
@@ -1,5 +1,9 @@
 """Parsing of numbers in headers."""
 
+import re
+
+_DECIMAL = re.compile(rb"\d+(\.\d*)?|\.\d+")
+
 
 def parse_count(value: bytes | None, maximum: int) -> int | None:
     """Return the whole number in a header, or None if there is none.
@@ -29,3 +33,18 @@
         count = parse_count(value[1:], maximum)
         return None if count is None else -count
     return parse_count(value, maximum)
+
+
+def parse_decimal(value: bytes | None, maximum: float) -> float | None:
+    """Return the decimal number in a header, or None if there is none.
+
+    A number above `maximum` counts as `maximum`.
+
+    >>> parse_decimal(b"8.75", 100.0), parse_decimal(b"9" * 500, 100.0)
+    (8.75, 100.0)
+    >>> [parse_decimal(value, 100.0) for value in (b"-1.5", b"nan", b"1e3", None)]
+    [None, None, None, None]
+    """
+    if value is None or not _DECIMAL.fullmatch(value):
+        return None
+    return min(float(value), maximum)
--- a/currantwharf/platform/backend_protocol.py
+++ b/currantwharf/platform/backend_protocol.py
@@ -9,6 +9,7 @@
     encode_headers,
     find_header,
     parse_count,
+    parse_decimal,
     select_end_to_end_headers,
 )
 from currantwharf.platform import names
@@ -26,6 +27,7 @@
 # Requests with these methods carry a content-length even if their body is empty.
 METHODS_WITH_LENGTH = frozenset({b"POST", b"PUT", b"PATCH"})
 MAX_WARM_UP_MS = 600_000  # a longer warm-up counts as this one
+MAX_LIMIT_PER_S = 1e9  # a higher limit counts as this one
 # No caller asks for an encoded body, so one that is encoded is not the server's own.
 CONTENT_ENCODING = b"content-encoding"
 
@@ -77,7 +79,13 @@
         warm_up_ms = parse_count(find_header(headers, names.WARM_UP_MS), MAX_WARM_UP_MS)
         warm_up_s = (warm_up_ms or 0) / 1000
         return BackendAnswer(
-            verdict, response.status, forwarded, response.body, signature, warm_up_s
+            verdict,
+            response.status,
+            forwarded,
+            response.body,
+            signature,
+            warm_up_s,
+            parse_decimal(find_header(headers, names.SERVER_LIMIT), MAX_LIMIT_PER_S),
         )
 
 
--- a/currantwharf/platform/names.py
+++ b/currantwharf/platform/names.py
@@ -7,6 +7,7 @@
 EXPECTED_SERVER = b"x-expect-instance"
 NOT_RUN = b"x-not-executed"
 WARM_UP_MS = b"x-warmup-ms"
+SERVER_LIMIT = b"server-limit"  # requests per second from all instances together
 PART_SIGNATURES = b"x-part-stamps"
 MISSING_PARTS = b"x-missing-parts"
 RETRY_AFTER = b"retry-after"
--- a/currantwharf/platform/tests/test_backend_protocol.py
+++ b/currantwharf/platform/tests/test_backend_protocol.py
@@ -53,6 +53,12 @@
         self.assertEqual(self.classify(429, proof), Verdict.REJECTED)
         self.assertEqual(self.classify(421), Verdict.MISDIRECTED)
 
+    def test_limit_of_a_server(self):
+        for value, limit in ((b"8.75", 8.75), (b"3", 3.0), (b"-1", None), (b"x", None)):
+            headers = (SIGNATURE, (b"server-limit", value))
+            answer = self.wire.parse_response(HttpResponse(200, headers, b""))
+            self.assertEqual(answer.limit_per_s, limit)
+
     def test_response_without_signature_or_with_encoding_is_spoiled(self):
         self.assertEqual(self.classify(200), Verdict.SPOILED)
         self.assertEqual(self.classify(503), Verdict.SPOILED)
