Hold each instance to its share of the limit that a server names

Cause: nothing read the limit, and the share of a rate existed only for cold servers. The trace shows how a limit is exceeded: instances prefer the nearest server, so that three of nine sent it 30 requests a second, while each learned of the limit from its own first answer, within 0.2 to 17 s.

Change: each server has a token bucket at each instance, filled at the instance's share of the limit, as for cold servers; both use TokenBuckets. In a large fleet a share may be less than a request in a window of 4 s; many saved tokens would then make a burst. So where shares are that small, a draw by the names of instance and server gives a usable rate to about as many instances as the window allows. test_server_limits.py plays fleets of 9 to 710 instances, limits of 0.5 to 100 a second, pressing callers and a rush after a lull.

Result: test_server_gets_no_more_requests_than_the_limit_that_it_named_allows fails without the check and passes with it. Requests go to the other server of the shard, 40 ms further away at most.

--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -263,6 +263,7 @@
         if (budget_share, connection_share) != self._shares:
             self._shares = budget_share, connection_share
             self.chooser.set_share(budget_share)
+            self.chooser.server_limits.share = connection_share
             self.pools.set_share(connection_share)
 
     def _share_evidence(self) -> None:
--- a/currantwharf/gateway/ineligibility.py
+++ b/currantwharf/gateway/ineligibility.py
@@ -11,4 +11,5 @@
     REGION_NOT_ALLOWED = "region_not_allowed"
     ADDRESS_REUSED = "address_reused"
     TRIED = "tried"
+    LIMITED = "limited"  # this instance's share of the limit that it names is used up
     COLD = "cold"  # this instance's share of the cold server's rate is used up
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -62,7 +62,7 @@
     ) -> None:
         self.directory = directory
         self.cold_limit = ColdLimit(instance)
-        self.server_limits = ServerLimits()
+        self.server_limits = ServerLimits(instance)
         self.excluded_data_centres: set[str] = set()
         self.crash_watch = CrashWatch()
         self.sharing = EvidenceSharing()
@@ -109,6 +109,8 @@
             return Ineligibility.REGION_NOT_ALLOWED
         if self._is_cold(entry, now) and not self.cold_limit.can_send(entry, now):
             return Ineligibility.COLD
+        if not self.server_limits.can_send(entry, now):
+            return Ineligibility.LIMITED
         return None
 
     def choose(
@@ -220,6 +222,7 @@
     def on_send(self, entry: ServerEntry, attempt: int, now: float) -> None:
         """Record a request sent to a server."""
         self.get_evidence(entry).on_send(attempt, now)
+        self.server_limits.on_send(entry, now)
         if self._is_cold(entry, now):
             self.cold_limit.on_send(entry, now)
 
--- a/currantwharf/gateway/tests/simulated_load.py
+++ b/currantwharf/gateway/tests/simulated_load.py
@@ -32,7 +32,10 @@
 
 @dataclass
 class SimulatedServer:
-    """A backend server. A new connection takes one of its slots for a moment."""
+    """A backend server. A new connection takes one of its slots for a moment.
+
+    It names `limit_per_s` in its answers, unless that is None.
+    """
 
     clock: Clock
     round_trip_s: float = 0.002
@@ -40,7 +43,9 @@
     slots: int = 2
     connect_work_s: float = 0.0
     is_dark: bool = False
+    limit_per_s: float | None = None
     runs: list = field(default_factory=list)
+    run_times: list = field(default_factory=list)
     queue: deque = field(default_factory=deque)
     running: int = 0
 
@@ -53,6 +58,7 @@
         exchange.is_written = True
         exchange.encode(self.clock.seconds())
         self.runs.append(exchange.request_id)
+        self.run_times.append(self.clock.seconds())
         self._add(self.work_s, lambda: self._answer(exchange))
 
     def _add(self, work_s, on_done):
@@ -71,8 +77,10 @@
         self._start_next()
 
     def _answer(self, exchange):
-        request_id = (b"x-request-id", exchange.request_id.encode())
-        exchange.finish(HttpResponse(200, (SIGNATURE, request_id), b"x" * 16))
+        headers = [SIGNATURE, (b"x-request-id", exchange.request_id.encode())]
+        if self.limit_per_s is not None:
+            headers.append((b"server-limit", b"%.1f" % self.limit_per_s))
+        exchange.finish(HttpResponse(200, tuple(headers), b"x" * 16))
 
 
 class SimulatedPool:
--- /dev/null
+++ b/currantwharf/gateway/tests/test_server_limits.py
@@ -0,0 +1,161 @@
+"""Load: servers name limits that callers exceed, in fleets of any size."""
+
+import random
+import unittest
+
+from currantwharf.gateway.backend_answer import Verdict
+from currantwharf.gateway.ineligibility import Ineligibility
+from currantwharf.gateway.server_limits import ServerLimits
+from currantwharf.gateway.tests.simulated_load import SimulatedServer, SimulatedSite
+from currantwharf.tests.gateway_builders import (
+    FAR,
+    NEAR,
+    make_answer,
+    make_chooser,
+    make_entry,
+    make_route,
+)
+
+FLEET_SIZES = (9, 60, 87, 195, 710)
+CALLING_INSTANCES = (3, 6, 9, 24)  # hubs, or all instances of a small fleet
+LIMITS_PER_S = (0.5, 1.5, 2.8, 5.0, 7.0, 12.0, 17.0, 100.0)
+
+
+def make_fleet(instances, limit_per_s, entry):
+    fleet = []
+    for number in range(instances):
+        limits = ServerLimits(f"front-{number}")
+        limits.share = 1 / instances
+        limits.set_limit(entry.server, limit_per_s)
+        fleet.append(limits)
+    return fleet
+
+
+def send(fleet, entry, per_s, start, seconds, rng):
+    """Offer requests at random instances; return when they may be sent."""
+    sent = []
+    now = start
+    while (now := now + rng.expovariate(per_s)) < start + seconds:
+        limits = rng.choice(fleet)
+        if limits.can_send(entry, now):
+            limits.on_send(entry, now)
+            sent.append(now)
+    return sent
+
+
+def count_most_in_window(sent, window_s=4.0):
+    first, most = 0, 0
+    for last, at in enumerate(sent):
+        while at - sent[first] > window_s:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+class ServerLimitTests(unittest.TestCase):
+    def setUp(self):
+        self.entry = make_entry()
+
+    def check_fleets(self, check, fleet_sizes=FLEET_SIZES):
+        for instances in fleet_sizes:
+            for limit_per_s in LIMITS_PER_S:
+                with self.subTest(instances=instances, limit_per_s=limit_per_s):
+                    fleet = make_fleet(instances, limit_per_s, self.entry)
+                    check(fleet, limit_per_s, random.Random(3))
+
+    def test_no_fleet_exceeds_a_limit_while_callers_press(self):
+        def check(fleet, limit_per_s, rng):
+            sent = send(fleet, self.entry, 4 * limit_per_s, 0.0, 60.0, rng)
+            allowed = 1.5 * 4 * limit_per_s + 5
+            self.assertLessEqual(count_most_in_window(sent), allowed)
+
+        self.check_fleets(check)
+
+    def test_no_fleet_exceeds_a_limit_when_callers_rush_in_after_a_lull(self):
+        def check(fleet, limit_per_s, rng):
+            send(fleet, self.entry, limit_per_s / 10, 0.0, 2000.0, rng)
+            sent = send(fleet, self.entry, 50 * limit_per_s, 2000.0, 10.0, rng)
+            allowed = 1.5 * 4 * limit_per_s + 5
+            self.assertLessEqual(count_most_in_window(sent), allowed)
+
+        self.check_fleets(check)
+
+    def test_callers_that_press_get_most_of_a_limit(self):
+        def check(fleet, limit_per_s, rng):
+            seconds = 400.0 / limit_per_s
+            sent = send(fleet, self.entry, 4 * limit_per_s, 0.0, seconds, rng)
+            self.assertGreaterEqual(len(sent), 0.5 * limit_per_s * seconds)
+
+        self.check_fleets(check, CALLING_INSTANCES)
+
+
+def play_limited_servers(limits_per_s, per_s, instances=9):
+    """Play 8 s of queries over ten shards, whose servers name these limits."""
+    shards = tuple(f"shard-{number}" for number in range(10))
+    entries, servers = [], []
+    for shard in shards:
+        for number, limit_per_s in enumerate(limits_per_s):
+            name = f"{shard}-{number}"
+            data_centre, round_trip_s = ((NEAR, 0.002), (FAR, 0.042))[number % 2]
+            entries.append(make_entry(name, shard, data_centre))
+            server = SimulatedServer(None, round_trip_s, limit_per_s=limit_per_s)
+            servers.append((name, server))
+    choosers = [make_chooser(entries) for _ in range(instances)]
+    for number, chooser in enumerate(choosers):
+        chooser.server_limits = ServerLimits(f"front-{number}")
+        chooser.server_limits.share = 1 / instances
+    site = SimulatedSite(choosers, servers, are_connected=True)
+    route = make_route(shards, least_coverage=0.89)
+    site.play(route, shards, per_s, 8.0, 0.15, 1.0)
+    return site
+
+
+class LimitedShardTests(unittest.TestCase):
+    def test_server_gets_no_more_requests_than_the_limit_that_it_named_allows(self):
+        site = play_limited_servers((8.0, None), per_s=40)
+        for server in site.servers.values():
+            if server.limit_per_s is not None:
+                told = [at for at in server.run_times if at >= 1.0]
+                self.assertLessEqual(count_most_in_window(told), 6 * 8.0 + 5)
+        total = site.outcomes.total()
+        self.assertGreaterEqual(site.outcomes["in time"], 0.95 * total, site.outcomes)
+
+
+class LimitedServerTests(unittest.TestCase):
+    def setUp(self):
+        self.entry = make_entry("near")
+        self.chooser = make_chooser([self.entry])
+        self.chooser.server_limits.share = 0.1
+        self.route = make_route()
+
+    def answer(self, now, **fields):
+        self.chooser.on_send(self.entry, 0, now)
+        self.chooser.on_result(make_answer(**fields), self.entry, 0, now + 0.01)
+
+    def find_ineligibility(self, now):
+        return self.chooser.find_ineligibility(self.entry, self.route, (), now)
+
+    def test_limited_server_is_ineligible_until_it_has_a_token(self):
+        self.answer(0.0, limit_per_s=10.0)
+        self.find_ineligibility(1.0)
+        self.assertIsNone(self.find_ineligibility(2.0))
+        self.chooser.on_send(self.entry, 1, 2.0)
+        self.assertIs(self.find_ineligibility(2.5), Ineligibility.LIMITED)
+        self.assertIsNone(self.find_ineligibility(3.01))
+
+    def test_rejection_may_name_a_limit(self):
+        self.answer(0.0, limit_per_s=10.0, verdict=Verdict.REJECTED, status=503)
+        self.assertEqual(self.chooser.server_limits.get_limit("near"), 10.0)
+
+    def test_limit_ends_with_an_answer_that_names_none(self):
+        self.answer(0.0, limit_per_s=10.0)
+        self.answer(1.0)
+        self.chooser.on_send(self.entry, 1, 5.0)
+        self.assertIsNone(self.find_ineligibility(5.0))
+
+    def test_answer_that_is_not_the_servers_own_changes_no_limit(self):
+        self.answer(0.0, limit_per_s=10.0)
+        for verdict in (Verdict.REJECTED, Verdict.MISDIRECTED, Verdict.SPOILED):
+            self.answer(1.0, verdict=verdict, status=421)
+        self.answer(1.0, verdict=Verdict.SPOILED, limit_per_s=900.0)
+        self.assertEqual(self.chooser.server_limits.get_limit("near"), 10.0)
