Refuse at once the queries that servers' limits stop

Cause: each query took tokens of the shards that had some, and waited for the others. Queries took tokens from each other until hardly any had enough parts.

Change: a query starts only if the limits leave it enough parts; otherwise it is refused before anything is sent, and takes no token. A request to a service whose servers are all stopped by limits is refused with the same reason, server_limit. The status is 429, by which an instance can tell a hub's decision from a query that the hub leaves to it, so that the query isn't run on an instance that knows less of the limits.

--- a/currantwharf/gateway/call_result.py
+++ b/currantwharf/gateway/call_result.py
@@ -22,6 +22,7 @@
     NONE = "none"
     NO_SERVER = "no_server"
     OVERLOADED = "overloaded"
+    SERVER_LIMIT = "server_limit"  # the limits that its servers name are used up
     HELD = "held"
     SERVER_LOST = "server_lost"
     SERVER_FAILED = "server_failed"
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -79,10 +79,13 @@
         return part_count * MAX_SENDS_PER_PART
 
     def start(self, now: float) -> list[CallAction]:
-        """Send every part to its best server."""
-        actions: list[CallAction] = []
+        """Send every part to its best server, unless limits leave too few parts."""
         for part in self.parts:
             self._chooser.on_request(part.service, now)
+        actions: list[CallAction] = []
+        if self._is_stopped_by_limits(now):
+            return self._finish(actions)
+        for part in self.parts:
             self._send_part(part, now, actions)
         return self._finish_if_done(actions, now)
 
@@ -152,6 +155,21 @@
             self._retry(part, result, now, actions)
         return self._finish_if_done(actions, now)
 
+    def _is_stopped_by_limits(self, now: float) -> bool:
+        """Return whether the limits of servers leave too few parts for an answer.
+
+        The parts that could be sent would use up limits in vain.
+        """
+        stopped = sum(
+            self._chooser.is_stopped_by_limits(part.service, self.route, now)
+            for part in self.parts
+        )
+        available = len(self.parts) - stopped
+        if not stopped or (available and self._answer_rule.has_min_coverage(available)):
+            return False
+        self._last_failure_reason = CallReason.SERVER_LIMIT
+        return True
+
     def _is_final(self, answer: BackendAnswer) -> bool:
         if self._is_query:
             return answer.is_success
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -127,6 +127,16 @@
                 best, best_cost = entry, cost
         return best
 
+    def is_stopped_by_limits(self, service: str, route: Route, now: float) -> bool:
+        """Return whether only limits of servers keep a request of `route` back."""
+        if not self.server_limits.has_any:
+            return False
+        reasons = [
+            self.find_ineligibility(entry, route, (), now)
+            for entry in self.directory.get_servers(service).values()
+        ]
+        return Ineligibility.LIMITED in reasons and None not in reasons
+
     def expected_latency_s(self, entry: ServerEntry, now: float) -> float:
         """Return a server's expected latency over an open connection, in seconds."""
         return self.get_evidence(entry).expected_latency_s(now)
--- a/currantwharf/gateway/server_limits.py
+++ b/currantwharf/gateway/server_limits.py
@@ -47,6 +47,11 @@
         self._limits: dict[str, float] = {}
         self._buckets = TokenBuckets(instance)
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any server has named a limit."""
+        return bool(self._limits)
+
     def can_send(self, entry: ServerEntry, now: float) -> bool:
         """Return whether the server's limit allows this instance one more request."""
         rate = self._instance_rate(entry)
@@ -58,11 +63,6 @@
         if rate is not None:
             self._buckets.spend(entry.server, rate, now)
 
-    def wait_s(self, entry: ServerEntry, now: float) -> float:
-        """Return the seconds until the server's limit allows one more request."""
-        rate = self._instance_rate(entry)
-        return 0.0 if rate is None else self._buckets.wait_s(entry.server, rate, now)
-
     def get_limit(self, server: str) -> float | None:
         """Return the limit of a server, or None if it has named none."""
         return self._limits.get(server)
--- a/currantwharf/gateway/tests/test_relay.py
+++ b/currantwharf/gateway/tests/test_relay.py
@@ -72,6 +72,12 @@
         self.connect().dataReceived(INTERIM + ANSWER)
         self.assertEqual(self.answers[0].body, b"x")
 
+    def test_query_that_limits_stop_at_the_hub_is_not_run_elsewhere(self):
+        self.send()
+        refusal = b"HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n"
+        self.connect().dataReceived(INTERIM + refusal)
+        self.assertEqual(self.answers[0].status, 429)
+
     def test_unacknowledged_query_is_unconfirmed_and_the_hub_avoided(self):
         self.send()
         self.connect()
--- a/currantwharf/gateway/tests/test_server_limits.py
+++ b/currantwharf/gateway/tests/test_server_limits.py
@@ -4,7 +4,9 @@
 import unittest
 
 from currantwharf.gateway.backend_answer import Verdict
+from currantwharf.gateway.call_result import CallOutcome, CallReason
 from currantwharf.gateway.ineligibility import Ineligibility
+from currantwharf.gateway.running_call import RunningCall
 from currantwharf.gateway.server_limits import ServerLimits
 from currantwharf.gateway.tests.simulated_load import SimulatedServer, SimulatedSite
 from currantwharf.tests.gateway_builders import (
@@ -13,6 +15,7 @@
     make_answer,
     make_chooser,
     make_entry,
+    make_request,
     make_route,
 )
 
@@ -120,6 +123,33 @@
         total = site.outcomes.total()
         self.assertGreaterEqual(site.outcomes["in time"], 0.95 * total, site.outcomes)
 
+    def test_queries_that_limits_stop_are_refused_at_once_and_the_others_answered(self):
+        site = play_limited_servers((8.0, 8.0), per_s=40)
+        self.assertEqual(site.outcomes["lost"] + site.outcomes["late"], 0)
+        self.assertGreaterEqual(site.outcomes["in time"], 0.5 * 16.0 * 8)
+        self.assertGreater(site.outcomes["refused"], 0)
+
+    def test_query_that_limits_stop_takes_nothing_from_other_shards(self):
+        shards = ("shard-0", "shard-1")
+        chooser = make_chooser([make_entry(shard, shard) for shard in shards])
+        chooser.server_limits.set_limit("shard-1", 1.0)
+        chooser.server_limits.share = 0.01
+        route = make_route(shards, least_coverage=0.9)
+        actions = RunningCall(make_request(), route, shards, chooser, 0).start(0.0)
+        (finish,) = actions
+        self.assertIs(finish.result.outcome, CallOutcome.NOT_RUN)
+        self.assertIs(finish.result.reason, CallReason.SERVER_LIMIT)
+
+    def test_query_goes_on_without_the_shards_that_limits_stop(self):
+        shards = ("shard-0", "shard-1")
+        chooser = make_chooser([make_entry(shard, shard) for shard in shards])
+        chooser.server_limits.set_limit("shard-1", 1.0)
+        chooser.server_limits.share = 0.01
+        route = make_route(shards, least_coverage=0.5)
+        actions = RunningCall(make_request(), route, shards, chooser, 0).start(0.0)
+        sent = [action.entry.server for action in actions]
+        self.assertEqual(sent, ["shard-0"])
+
 
 class LimitedServerTests(unittest.TestCase):
     def setUp(self):
--- a/currantwharf/gateway/token_buckets.py
+++ b/currantwharf/gateway/token_buckets.py
@@ -12,8 +12,7 @@
     each bucket, so that the first requests of all instances are spread over time.
 
     >>> buckets = TokenBuckets("i")
-    >>> wait_s = buckets.wait_s("s1", 0.5, 10.0)
-    >>> buckets.count("s1", 0.5, 10.0 + wait_s) >= 1.0
+    >>> buckets.count("s1", 0.5, 10.0) < 1.0 <= buckets.count("s1", 0.5, 12.0)
     True
     """
 
@@ -30,11 +29,6 @@
         tokens, updated_at = bucket
         return min(max(1.0, rate), tokens + (now - updated_at) * rate)
 
-    def wait_s(self, server: str, rate: float, now: float) -> float:
-        """Return the seconds until a server's bucket holds a token."""
-        missing = 1.0 - self.count(server, rate, now)
-        return max(0.0, missing / rate) if rate > 0 else float("inf")
-
     def spend(self, server: str, rate: float, now: float) -> None:
         """Take a token out of a server's bucket, which may be empty."""
         self._buckets[server] = (self.count(server, rate, now) - 1.0, now)
--- a/currantwharf/platform/caller_protocol.py
+++ b/currantwharf/platform/caller_protocol.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-from currantwharf.gateway.call_result import CallOutcome, CallResult
+from currantwharf.gateway.call_result import CallOutcome, CallReason, CallResult
 from currantwharf.gateway.entry_point import EntryPoint, Refusal
 from currantwharf.gateway.gateway_request import GatewayRequest
 from currantwharf.gateway.merge_records import RECORD_BYTES, merge_records
@@ -44,6 +44,11 @@
 }
 
 
+# A hub's decision on a query that limits stop; another status leaves the query to the
+# instance that asked.
+STOPPED_BY_LIMITS_STATUS = 429
+
+
 class CallerProtocol:
     """Decode callers' requests, run them and encode their results."""
 
@@ -205,7 +210,10 @@
         if result.outcome is CallOutcome.NOT_RUN:
             headers = ((names.RETRY_AFTER, b"%.3f" % result.retry_after_s),)
         body = f"{result.outcome}: {result.reason}\n".encode()
-        responder.finish(STATUS_BY_OUTCOME[result.outcome], headers, body)
+        status = STATUS_BY_OUTCOME[result.outcome]
+        if headers and result.reason is CallReason.SERVER_LIMIT:
+            status = STOPPED_BY_LIMITS_STATUS
+        responder.finish(status, headers, body)
     elif route.shards:
         missing = result.coverage.shards - result.coverage.answered
         signatures = b", ".join(answer.signature for answer in result.answers)
--- a/currantwharf/platform/tests/test_caller_protocol.py
+++ b/currantwharf/platform/tests/test_caller_protocol.py
@@ -145,6 +145,13 @@
                 has_retry_after = response.get(b"retry-after") is not None
                 self.assertEqual(has_retry_after, status == 503)
 
+    def test_request_that_limits_stop_is_told_apart_from_one_left_to_others(self):
+        response = self.finish(CallOutcome.NOT_RUN, CallReason.SERVER_LIMIT)
+        self.assertEqual(response.status, 429)
+        self.assertEqual(response.get(b"retry-after"), b"0.250")
+        response = self.finish(CallOutcome.TIMED_OUT, CallReason.SERVER_LIMIT)
+        self.assertEqual(response.status, 504)
+
     def test_server_error_is_passed_on_with_its_status(self):
         self.entry.route = make_route()
         failed = make_answer(status=500, body=b"no")
