Tell other instances what servers say of their limits

An instance to which the draw gives no share of a limit sends the server nothing, so it never saw the answer that ended the limit: it left the server out for good.

Hellos now carry what was last seen of some limits and how long ago; the newer report holds. A limit of which nobody sees anything for 10 s, or for the time in which it allows five requests, has ended. A change that an instance sees itself is announced at once.

--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -145,6 +145,10 @@
             lambda: self.chooser.crash_watch.list_recent_reports(clock.now()),
             self._on_changes,
             self._on_server_reports,
+            lambda: self.chooser.server_limits.list_reports(clock.now()),
+            lambda reports: self.chooser.server_limits.merge_reports(
+                reports, clock.now()
+            ),
             lambda reports: self.chooser.crash_watch.merge_reports(
                 reports, clock.now()
             ),
@@ -221,6 +225,10 @@
         if self.chooser.crash_watch.has_new_losses:
             self.chooser.crash_watch.has_new_losses = False
             self.peers.send_to_all()
+        self.chooser.server_limits.expire(now)
+        if self.chooser.server_limits.has_news:
+            self.chooser.server_limits.has_news = False
+            self.peers.announce_change()
         for server in self.registry.expire(now):
             self._forget_server(server)
         newest_revision = self.peer_table.newest_revision()
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -285,7 +285,7 @@
         self, result: BackendAnswer, entry: ServerEntry, attempt: int, now: float
     ) -> None:
         evidence = self.get_evidence(entry)
-        self._update_limit(result, entry)
+        self._update_limit(result, entry, now)
         if result.warm_up_s:
             evidence.cold_until = now + result.warm_up_s
         if result.verdict is Verdict.ANSWERED:
@@ -302,17 +302,17 @@
             self._misdirected_servers.add(entry.server)
         evidence.on_failure(attempt, now)
 
-    def _update_limit(self, answer: BackendAnswer, entry: ServerEntry) -> None:
+    def _update_limit(
+        self, answer: BackendAnswer, entry: ServerEntry, now: float
+    ) -> None:
         """Record the limit that an answer names, or that it names none any more.
 
         Only an answer of the server's own shows that a limit has ended.
         """
         if answer.verdict in (Verdict.MISDIRECTED, Verdict.SPOILED):
             return
-        if answer.limit_per_s is not None:
-            self.server_limits.set_limit(entry.server, answer.limit_per_s)
-        elif answer.verdict is Verdict.ANSWERED:
-            self.server_limits.lift(entry.server)
+        if answer.limit_per_s is not None or answer.verdict is Verdict.ANSWERED:
+            self.server_limits.set_limit(entry.server, answer.limit_per_s, now)
 
     def on_registration(self, entry: ServerEntry, now: float) -> None:
         """Record a new or changed registration of a server."""
--- a/currantwharf/peers/hello.py
+++ b/currantwharf/peers/hello.py
@@ -4,6 +4,7 @@
 
 from currantwharf.documents.decode_errors import DECODE_ERRORS
 from currantwharf.gateway.changes import StoreEvents
+from currantwharf.gateway.limit_report import LimitReport
 from currantwharf.policy.crash_report import CrashReport
 
 
@@ -40,7 +41,7 @@
     newest changes if they are small; an instance that lacks larger ones fetches them.
     `members` contains some of the instances that the sender knows, `losses` the newest
     losses of backend servers, and `counts` the number of instances in each data centre,
-    the sender's own first.
+    the sender's own first. `limits` tells what some servers have said of their limits.
     """
 
     name: str
@@ -56,6 +57,7 @@
     wants_reply: bool = False
     cores: float = 0.0
     counts: tuple[InstanceCount, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 _decoder = msgspec.msgpack.Decoder(Hello)
--- a/currantwharf/peers/peer_task.py
+++ b/currantwharf/peers/peer_task.py
@@ -12,6 +12,7 @@
 from currantwharf.gateway.change_source import ChangeSource
 from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
 from currantwharf.gateway.instance_info import InstanceInfo
+from currantwharf.gateway.limit_report import LimitReport
 from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.server_report import ServerReport
 from currantwharf.http1 import (
@@ -39,6 +40,7 @@
 MAX_REMOTE_HELLO_RATIO = 0.5
 SEED_INTERVAL_ROUNDS = 12  # a hello to a seed at this interval heals a partition
 STARTUP_SEEDING_S = 2.0  # time after the start in which every round contacts all seeds
+MAX_LIMIT_REPORTS = 16  # in a hello
 MAX_INLINE_BYTES = 900  # of changes in a datagram, which must fit into one packet
 FETCH_TIMEOUT_S = 1.0  # short, because peers answer from memory
 REMOTE_FETCH_DELAY_S = 0.7  # the local reader delivers most changes before this
@@ -57,9 +59,10 @@
     """Gossip protocol of one instance, on its datagram socket.
 
     `get_status` returns whether this instance is serving and whether it can read the
-    store; `get_crash_reports` returns the reports to send. `on_changes` is called with
-    the new changes received from a peer, `on_server_reports` with what it has found of
-    servers, `on_crash_reports` with its crash reports.
+    store; `get_crash_reports` and `get_limit_reports` return the reports to send.
+    `on_changes` is called with the new changes received from a peer,
+    `on_server_reports` with what it has found of servers, `on_limit_reports` with what
+    it has seen of their limits, and `on_crash_reports` with its crash reports.
     `heard_at` is the monotonic time of the last hello received; `is_fetching` is true
     while changes are fetched from a peer.
     """
@@ -78,6 +81,8 @@
         get_crash_reports: Callable[[], tuple[CrashReport, ...]],
         on_changes: Callable[[list[RevisedChange], ChangeSource], None],
         on_server_reports: Callable[[tuple[ServerReport, ...]], None],
+        get_limit_reports: Callable[[], list[LimitReport]],
+        on_limit_reports: Callable[[tuple[LimitReport, ...]], None],
         on_crash_reports: Callable[[tuple[CrashReport, ...]], None],
         rng: random.Random,
     ) -> None:
@@ -92,6 +97,8 @@
         self._on_changes = on_changes
         self._on_crash_reports = on_crash_reports
         self._on_server_reports = on_server_reports
+        self._get_limit_reports = get_limit_reports
+        self._on_limit_reports = on_limit_reports
         self._rng = rng
         self.heard_at = -1e9
         self.is_fetching = False
@@ -173,6 +180,8 @@
         is_new = self.table.record_hello(hello, now)
         if hello.losses:
             self._on_crash_reports(hello.losses)
+        if hello.limits:
+            self._on_limit_reports(hello.limits)
         old_revision = self._registry.revision
         if hello.events is not None and hello.events.after <= old_revision:
             self._apply(hello.events, ChangeSource.HELLO)
@@ -233,6 +242,7 @@
             return
         now = self._clock.now()
         is_serving, can_read = self._get_status()
+        events = self._select_inline_events(known_revision)
         hello = Hello(
             self.table.name,
             self._boot,
@@ -243,10 +253,12 @@
             self._registry.revision,
             self.table.choose_member_summaries(data_centre, now),
             self._get_crash_reports(),
-            self._select_inline_events(known_revision),
+            events,
             wants_reply,
             self._instance_info.cores,
             self.table.list_counts(now),
+            # A packet has no room for both.
+            self._select_limit_reports() if events is None else (),
         )
         self.transport.write(
             encode_hello(hello), (host, self._instance_info.gossip_port)
@@ -261,6 +273,11 @@
         is_small = len(msgspec.msgpack.encode(events)) <= MAX_INLINE_BYTES
         return events if is_small else None
 
+    def _select_limit_reports(self) -> tuple[LimitReport, ...]:
+        reports = self._get_limit_reports()
+        count = min(MAX_LIMIT_REPORTS, len(reports))
+        return tuple(self._rng.sample(reports, count))
+
     def _schedule_fetch(self, hello: Hello) -> None:
         """Fetch at once from the same data centre, and after a delay from another one.
 
--- a/currantwharf/peers/tests/test_peer_task.py
+++ b/currantwharf/peers/tests/test_peer_task.py
@@ -5,6 +5,7 @@
 
 from currantwharf.gateway.changes import StoreEvents, StoreSnapshot
 from currantwharf.gateway.instance_info import InstanceInfo
+from currantwharf.gateway.limit_report import LimitReport
 from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.server_report import ServerReport
 from currantwharf.http1 import HttpRequest, Responder
@@ -59,6 +60,8 @@
         self.network = FakeNetwork()
         self.crash_reports = {}
         self.server_reports = []
+        self.limit_reports = {}
+        self.received_limits = []
         self.fetches = []
         self.tasks = {name: self.start(name) for name in ("i0", "i1", "i2", "i3")}
 
@@ -78,6 +81,8 @@
             lambda: self.crash_reports.get(name, ()),
             lambda changes, source: None,
             lambda reports: self.server_reports.append((name, reports)),
+            lambda: self.limit_reports.get(name, []),
+            lambda reports: self.received_limits.append((name, reports)),
             lambda reports: self.crash_reports.update({f"heard by {name}": reports}),
             random.Random(name),
         )
@@ -118,6 +123,16 @@
             servers = task._registry.directory.get_servers("camphor")
             self.assertEqual(set(servers), {"s0", "s1"})
 
+    def test_limits_of_servers_are_told_with_hellos(self):
+        reports = [LimitReport(f"s{number}", 8.0, 0.5) for number in range(30)]
+        self.limit_reports["i2"] = reports
+        for _ in range(100):
+            self.network.advance(0.1)
+        told = {report for name, limits in self.received_limits for report in limits}
+        self.assertEqual(told, set(reports))
+        receivers = {name for name, _ in self.received_limits}
+        self.assertEqual(receivers, {"i0", "i1", "i3"})
+
     def test_only_a_peer_that_serves_confirms_what_was_read(self):
         registry = self.tasks["i2"]._registry
         registry.apply_snapshot(StoreSnapshot((config_change(1, 9),), 10), 0.0)
