Share the limits of a service alike among all instances

The share of a limit was that of the connections, of which hubs have more than half. Hubs send most requests to shards, but any instance sends its callers' requests to other services: in a fleet of 60 with six hubs, nine tenths of those requests come to instances that had less than half of the limit.

Each instance now has an equal share of the limits of servers that are no shard. A fleet that is small enough for a server's window, each instance counted once, does without the draw: nine instances at a limit of 1 a second did not.

test_limits_of_a_service_that_all_instances_call_are_shared_alike failed before.

--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -18,6 +18,7 @@
 from currantwharf.gateway.change_source import ChangeSource
 from currantwharf.gateway.changes import RevisedChange
 from currantwharf.gateway.entry_point import EntryPoint
+from currantwharf.gateway.fleet_shares import FleetShares
 from currantwharf.gateway.gateway_limits import GatewayLimits
 from currantwharf.gateway.instance_info import InstanceInfo
 from currantwharf.gateway.lag_watch import LagWatch
@@ -45,8 +46,6 @@
 # Number of peers in this data centre to notify at once when this instance can't read
 # the store, so that another one takes over as reader.
 STORE_FAILURE_NOTICES = 4
-# Instances assumed to share each server's connections until the fleet is known.
-ASSUMED_CONNECTION_SHARERS = 12
 FLEET_DISCOVERY_S = 6.0  # time after the start to discover a fleet of hundreds
 # Longest time after the start for which a configuration that may be outdated, because
 # neither the store nor a peer has confirmed it, is not used.
@@ -106,6 +105,7 @@
         self.chooser.sharing.on_pending = lambda: reactor.callLater(
             SHARING_DELAY_S, self._share_evidence
         )
+        self.chooser.server_limits.get_share = self._get_limit_share
         self.chooser.server_limits.on_change = self._on_limit_change
         self.registry = Registry(directory, self.chooser)
         self.registry.on_confirmed = self._start_serving
@@ -164,7 +164,7 @@
         )
         self._sweep = RepeatingTask(reactor, "sweep", self._on_sweep)
         self._lag_watch = LagWatch()
-        self._shares = 0.0, 0.0
+        self._shares = FleetShares()
         self._paused_at = -1e9
         self._started_at = clock.now()
         self._shutdown: Shutdown | None = None
@@ -261,18 +261,15 @@
 
     def _update_shares(self, now: float) -> None:
         """Update this instance's share of the fleet's budgets and connections."""
-        budget_share = connection_share = self.peer_table.budget_share(now, self._cores)
+        share = self.peer_table.budget_share(now, self._cores)
+        shares = FleetShares(share, share, 1 / self.peer_table.fleet_size(now))
         is_starting = now - self._started_at < FLEET_DISCOVERY_S
         if is_starting or not self.peer_table.has_recent_contact(now):
-            # Other instances may run without being known yet, for example when all
-            # instances restart at the same time.
-            budget_share = min(budget_share, 1 / self._limits.assumed_fleet_size)
-            connection_share = min(connection_share, 1 / ASSUMED_CONNECTION_SHARERS)
-        if (budget_share, connection_share) != self._shares:
-            self._shares = budget_share, connection_share
-            self.chooser.set_share(budget_share)
-            self.chooser.server_limits.share = connection_share
-            self.pools.set_share(connection_share)
+            shares = shares.limit_to(1 / self._limits.assumed_fleet_size)
+        if shares != self._shares:
+            self._shares = shares
+            self.chooser.set_share(shares.budget)
+            self.pools.set_share(shares.shard_calls)
 
     def _share_evidence(self) -> None:
         """Tell the instances that call the same servers of silent and slow ones.
@@ -384,6 +381,11 @@
         declared = config.services.get(service) if config is not None else None
         return declared.cold_rate if declared is not None else None
 
+    def _get_limit_share(self, service: str) -> float:
+        """Return this instance's share of the limits of a service's servers."""
+        is_shard = self.registry.is_shard(service)
+        return self._shares.shard_calls if is_shard else self._shares.service_calls
+
     def _get_max_connections(self, service: str) -> int:
         config = self.registry.config
         declared = config.services.get(service) if config is not None else None
--- a/currantwharf/gateway/registry.py
+++ b/currantwharf/gateway/registry.py
@@ -49,6 +49,7 @@
         self._chooser = chooser
         self._data_centre_states: dict[str, tuple[int, bool]] = {}
         self._config_revision = 0
+        self._shards: frozenset[str] = frozenset()
         self._change_log: deque[RevisedChange] = deque(maxlen=CHANGE_LOG_LENGTH)
         self._change_log_start = 0
 
@@ -57,6 +58,10 @@
         """Whether a configuration has been received."""
         return self.config is not None
 
+    def is_shard(self, service: str) -> bool:
+        """Return whether the configuration names a service as a shard."""
+        return service in self._shards
+
     def confirm(self, newest_revision: int) -> None:
         """Record that the newest revision was `newest_revision` a moment ago."""
         if self.is_confirmed or not self.has_config or newest_revision > self.revision:
@@ -177,6 +182,9 @@
         self.config = change.config
         self._config_revision = revision
         self.routes = RouteTable(change.config.routes)
+        self._shards = frozenset(
+            shard for route in change.config.routes for shard in route.shards
+        )
         return True
 
     @_apply.register
--- a/currantwharf/gateway/server_limits.py
+++ b/currantwharf/gateway/server_limits.py
@@ -22,6 +22,9 @@
 # The time over which servers count, in seconds. In it they expect no more than half of
 # their limit beyond the limit, and a few requests.
 WINDOW_S = 4.0
+EXCESS_RATIO = 1.5
+EXCESS_REQUESTS = 5.0
+MEAN_EXCESS_REQUESTS = 3.0  # where a draw decides how many instances send
 # The rate of an instance that sends a server one request in a window at most.
 SPARSE_RATE_PER_S = 0.99 / WINDOW_S
 
@@ -36,9 +39,10 @@
     server little or nothing would miss the end of a limit. Of two reports the newer
     holds; without any for a while, a limit has ended.
 
-    `share` is the fraction of each limit that this instance may use. `on_change` is
-    called with the server and its limit, or None, for each change that is news.
-    `has_news` is set when this instance has seen a change that others may not know.
+    `get_share` returns the fraction of the limits of a service's servers that this
+    instance may use. `on_change` is called with the server and its limit, or None, for
+    each change that is news. `has_news` is set when this instance has seen a change
+    that others may not know.
 
     >>> limits = ServerLimits("i")
     >>> limits.set_limit("s1", 8.5, 10.0)
@@ -50,7 +54,7 @@
     """
 
     def __init__(self, instance: str) -> None:
-        self.share = 1.0
+        self.get_share: Callable[[str], float] = lambda service: 1.0
         self.has_news = False
         self.on_change: Callable[[str, float | None], None] = lambda server, limit: None
         self._instance = instance
@@ -139,7 +143,8 @@
         if limit_per_s is None:
             return None
         draw = score(self._instance, f"limit|{entry.server}") / SCORE_RANGE
-        return compute_instance_rate(limit_per_s, self.share, draw)
+        share = self.get_share(entry.service)
+        return compute_instance_rate(limit_per_s, share, draw)
 
 
 def compute_instance_rate(limit_per_s: float, share: float, draw: float) -> float:
@@ -159,8 +164,9 @@
     """
     limit_per_s = max(limit_per_s, MIN_LIMIT_PER_S)
     rate = limit_per_s * share
-    min_rate = limit_per_s / (WINDOW_S * limit_per_s + 3)
-    if rate < min_rate:
+    if share < 1 / (EXCESS_RATIO * WINDOW_S * limit_per_s + EXCESS_REQUESTS):
+        # Fewer instances than the window allows, since the draw may give more.
+        min_rate = limit_per_s / (WINDOW_S * limit_per_s + MEAN_EXCESS_REQUESTS)
         return min_rate if draw * min_rate < rate else 0.0
     if rate * WINDOW_S * 3 / 4 < 1:
         # Two tokens in a window of this rate would be half as many again as it allows.
--- a/currantwharf/gateway/tests/test_gateway.py
+++ b/currantwharf/gateway/tests/test_gateway.py
@@ -48,7 +48,7 @@
 
     def budget_share(self):
         self.gateway._on_sweep()
-        return self.gateway._shares[0]
+        return self.gateway._shares.budget
 
     def test_shares_assume_a_large_fleet_after_the_start(self):
         assumed_size = GatewayLimits().assumed_fleet_size
@@ -59,6 +59,19 @@
         self.receive_hellos("x", "y", "z")
         self.assertEqual(self.budget_share(), 1 / 4)
 
+    def test_limits_of_a_service_that_all_instances_call_are_shared_alike(self):
+        shards = ("shard-0",)
+        routes = (make_route(), make_route(shards))
+        config = config_change(3, 5, routes)
+        self.store.answer("stale", StoreSnapshot((config,), 10))
+        self.reactor.advance(FLEET_DISCOVERY_S + 0.1)
+        self.receive_hellos(*(f"x{number}" for number in range(19)))
+        self.gateway._on_sweep()
+        get_share = self.gateway.chooser.server_limits.get_share
+        self.assertEqual(get_share("camphor"), 1 / 20)
+        self.assertNotEqual(get_share("shard-0"), 1 / 20)
+        self.assertEqual(get_share("shard-0"), self.gateway._shares.shard_calls)
+
     def test_shares_assume_a_large_fleet_without_contact_to_peers(self):
         self.receive_hellos("x")
         self.reactor.advance(FLEET_DISCOVERY_S + 5)
--- a/currantwharf/gateway/tests/test_server_limits.py
+++ b/currantwharf/gateway/tests/test_server_limits.py
@@ -29,7 +29,7 @@
     fleet = []
     for number in range(instances):
         limits = ServerLimits(f"front-{number}")
-        limits.share = 1 / instances
+        limits.get_share = lambda service: 1 / instances
         limits.set_limit(entry.server, limit_per_s, 0.0)
         fleet.append(limits)
     return fleet
@@ -109,7 +109,7 @@
     def setUp(self):
         self.entry = make_entry("s1")
         self.first, self.second = ServerLimits("front-1"), ServerLimits("front-2")
-        self.second.share = 0.0
+        self.second.get_share = lambda service: 0.0
 
     def tell(self, sender, receiver, now):
         receiver.merge_reports(sender.list_reports(now), now)
@@ -163,7 +163,7 @@
     choosers = [make_chooser(entries) for _ in range(instances)]
     for number, chooser in enumerate(choosers):
         chooser.server_limits = ServerLimits(f"front-{number}")
-        chooser.server_limits.share = 1 / instances
+        chooser.server_limits.get_share = lambda service: 1 / instances
     site = SimulatedSite(choosers, servers, are_connected=True)
     route = make_route(shards, least_coverage=0.89)
     site.play(route, shards, per_s, 8.0, 0.15, 1.0)
@@ -190,7 +190,7 @@
         shards = ("shard-0", "shard-1")
         chooser = make_chooser([make_entry(shard, shard) for shard in shards])
         chooser.server_limits.set_limit("shard-1", 1.0, 0.0)
-        chooser.server_limits.share = 0.01
+        chooser.server_limits.get_share = lambda service: 0.01
         route = make_route(shards, least_coverage=0.9)
         actions = RunningCall(make_request(), route, shards, chooser, 0).start(0.0)
         (finish,) = actions
@@ -201,7 +201,7 @@
         shards = ("shard-0", "shard-1")
         chooser = make_chooser([make_entry(shard, shard) for shard in shards])
         chooser.server_limits.set_limit("shard-1", 1.0, 0.0)
-        chooser.server_limits.share = 0.01
+        chooser.server_limits.get_share = lambda service: 0.01
         route = make_route(shards, least_coverage=0.5)
         actions = RunningCall(make_request(), route, shards, chooser, 0).start(0.0)
         sent = [action.entry.server for action in actions]
@@ -212,7 +212,7 @@
     def setUp(self):
         self.entry = make_entry("near")
         self.chooser = make_chooser([self.entry])
-        self.chooser.server_limits.share = 0.1
+        self.chooser.server_limits.get_share = lambda service: 0.1
         self.route = make_route()
 
     def answer(self, now, **fields):
