--- a/currantwharf/platform/tests/test_end_to_end.py
+++ b/currantwharf/platform/tests/test_end_to_end.py
@@ -147,6 +147,28 @@
         runs = [r for s in self.site.servers.values() for r in s.runs]
         self.assertEqual(runs, ["request-1"])
 
+    def test_limited_servers_get_few_orders_until_they_name_no_limit_any_more(self):
+        servers = [
+            server
+            for name, server in self.site.servers.items()
+            if name.startswith(f"i-{ORDERS_SERVICE}")
+        ]
+        for server in servers:
+            server.faults.limit_per_s = 0.5
+        statuses = [self.send_order(number % 2).status for number in range(40)]
+        self.assertEqual(set(statuses), {200, 429})
+        run_ids = [request_id for server in servers for request_id in server.runs]
+        self.assertEqual(len(run_ids), statuses.count(200))
+        for server in servers:
+            # Each instance may have sent one request before it was told.
+            self.assertLessEqual(len(server.runs), 0.5 * 6 + 5 + 2)
+            server.faults.limit_per_s = None
+        run_until(lambda: self.send_order(0).status == 200, 10.0)
+        run_until(lambda: self.send_order(1).status == 200, 10.0)
+
+    def send_order(self, number):
+        return result_of(self.send(b"/order/1", number, method=b"POST", body=b"x"))
+
     def test_draining_server_gets_no_requests_from_any_instance(self):
         leaving = f"i-{ORDERS_SERVICE}-taipei-a"
         self.site.register(leaving, state="draining")
--- a/currantwharf/standin/server_faults.py
+++ b/currantwharf/standin/server_faults.py
@@ -9,10 +9,11 @@
 
     `slow` multiplies its service time. A `silent` server queues requests and runs
     none, a `failing` one answers 500, and one with `shed` refuses each request as not
-    run.
+    run. Its answers name `limit_per_s`, in requests per second, unless that is None.
     """
 
     slow: float = 1.0
     silent: bool = False
     failing: bool = False
     shed: bool = False
+    limit_per_s: float | None = None
--- a/currantwharf/standin/shard_server.py
+++ b/currantwharf/standin/shard_server.py
@@ -80,5 +80,9 @@
     def _build_headers(self, request: HttpRequest, signed: bool) -> tuple[Header, ...]:
         request_id = request.get(names.REQUEST_ID) or b""
         signature = b"%s.%s" % (self.server.encode(), request_id)
-        headers = ((names.REQUEST_ID, request_id),)
-        return (*headers, (names.SIGNATURE, signature)) if signed else headers
+        headers = [(names.REQUEST_ID, request_id)]
+        if self.faults.limit_per_s is not None:
+            headers.append((names.SERVER_LIMIT, b"%.2f" % self.faults.limit_per_s))
+        if signed:
+            headers.append((names.SIGNATURE, signature))
+        return tuple(headers)
--- a/currantwharf/tests/soak/soak.py
+++ b/currantwharf/tests/soak/soak.py
@@ -141,6 +141,7 @@
             faults.failing = self.rng.random() < 0.2
             faults.shed = self.rng.random() < 0.2
             faults.silent = self.rng.random() < 0.1
+            faults.limit_per_s = self.rng.choice((None, None, 2.0))
         elif kind == "store":
             self.site.store.fault = self.rng.choice((None, None, 503, 429, "silent"))
         elif kind == "history":
