Refuse hellos whose limits are no rates

A limit that is negative, infinite or not a number would have reached the token buckets from a peer's hello and made their counts meaningless. Such a hello is now unreadable, as one with any other malformed field. test_hello_with_a_limit_that_is_no_rate_is_unreadable failed before.

--- a/currantwharf/gateway/tests/test_server_limits.py
+++ b/currantwharf/gateway/tests/test_server_limits.py
@@ -6,9 +6,11 @@
 from currantwharf.gateway.backend_answer import Verdict
 from currantwharf.gateway.call_result import CallOutcome, CallReason
 from currantwharf.gateway.ineligibility import Ineligibility
+from currantwharf.gateway.limit_report import LimitReport
 from currantwharf.gateway.running_call import RunningCall
 from currantwharf.gateway.server_limits import ServerLimits
 from currantwharf.gateway.tests.simulated_load import SimulatedServer, SimulatedSite
+from currantwharf.peers.hello import Hello, decode_hello, encode_hello
 from currantwharf.tests.gateway_builders import (
     FAR,
     NEAR,
@@ -142,6 +144,12 @@
         self.assertFalse(self.second.has_any)
         self.assertEqual(self.second.list_reports(21.0), [])
 
+    def test_hello_with_a_limit_that_is_no_rate_is_unreadable(self):
+        for limit_per_s in (-1.0, float("nan"), float("inf")):
+            report = LimitReport("s1", limit_per_s, 0.0)
+            hello = Hello("x", "b", "h", "a", True, True, 1, limits=(report,))
+            self.assertIsNone(decode_hello(encode_hello(hello)), limit_per_s)
+
     def test_reports_name_a_limit_before_the_first_answer(self):
         self.first.set_limit("s1", 2.0, 10.0)
         self.tell(self.first, self.second, 10.5)
--- a/currantwharf/platform/backend_protocol.py
+++ b/currantwharf/platform/backend_protocol.py
@@ -2,6 +2,7 @@
 
 from currantwharf.gateway.backend_answer import BackendAnswer, Verdict
 from currantwharf.gateway.gateway_request import GatewayRequest
+from currantwharf.gateway.limit_report import MAX_LIMIT_PER_S
 from currantwharf.gateway.server_entry import ServerEntry
 from currantwharf.http1 import (
     Header,
@@ -27,7 +28,6 @@
 # Requests with these methods carry a content-length even if their body is empty.
 METHODS_WITH_LENGTH = frozenset({b"POST", b"PUT", b"PATCH"})
 MAX_WARM_UP_MS = 600_000  # a longer warm-up counts as this one
-MAX_LIMIT_PER_S = 1e9  # a higher limit counts as this one
 # No caller asks for an encoded body, so one that is encoded is not the server's own.
 CONTENT_ENCODING = b"content-encoding"
 
