Keep a limit in force while a large fleet sends the server little

An instance dropped a limit of which nothing was seen for 10 s.

Change: a limit holds for five minutes after it was last seen; its end is told for half a minute. Whoever has a share finds out about the end at the next request.

--- a/currantwharf/gateway/server_limits.py
+++ b/currantwharf/gateway/server_limits.py
@@ -16,9 +16,10 @@
 REPORTED_CHANGE_RATIO = 0.1  # smallest relative change of a limit that is news
 # A lower limit counts as this one: without any request its end could not be noticed.
 MIN_LIMIT_PER_S = 0.2
-# How long a limit holds of which nothing more is seen, and the end of one is told.
-TIME_TO_LIVE_S = 10.0
-MIN_REQUESTS_TO_LIVE = 5.0  # that the limit allows in this time, at least
+# How long a limit holds of which nothing more is seen. A large fleet holds itself to so
+# few requests that minutes may pass between two answers.
+LIMIT_TIME_TO_LIVE_S = 300.0
+END_TIME_TO_LIVE_S = 30.0  # how long the end of a limit is told
 # The time over which servers count, in seconds. In it they expect no more than half of
 # their limit beyond the limit, and a few requests.
 WINDOW_S = 4.0
@@ -37,7 +38,7 @@
     A server names its limit in its answers, and the limit holds until an answer names
     none. Instances tell each other what they have seen of it, since one that sends a
     server little or nothing would miss the end of a limit. Of two reports the newer
-    holds; without any for a while, a limit has ended.
+    holds; without any for minutes, a limit has ended.
 
     `get_share` returns the fraction of the limits of a service's servers that this
     instance may use. `on_change` is called with the server and its limit, or None, for
@@ -175,13 +176,7 @@
 
 
 def _time_to_live_s(limit_per_s: float | None) -> float:
-    """Return how long a limit holds of which nothing more is seen.
-
-    At the lowest limits, requests that could show its end are rare.
-    """
-    if limit_per_s is None:
-        return TIME_TO_LIVE_S
-    return max(TIME_TO_LIVE_S, MIN_REQUESTS_TO_LIVE / max(limit_per_s, MIN_LIMIT_PER_S))
+    return END_TIME_TO_LIVE_S if limit_per_s is None else LIMIT_TIME_TO_LIVE_S
 
 
 def _differs(known: float, limit_per_s: float) -> bool:
