--- a/currantwharf/gateway/tests/test_server_limits.py
+++ b/currantwharf/gateway/tests/test_server_limits.py
@@ -239,24 +239,22 @@
         self.assertGreaterEqual(site.outcomes["in time"], 0.5 * 16.0 * 8)
         self.assertGreater(site.outcomes["refused"], 0)
 
-    def test_query_that_limits_stop_takes_nothing_from_other_shards(self):
+    def start_query(self, least_coverage):
+        """Start a query to two shards, of which limits stop one."""
         shards = ("shard-0", "shard-1")
         chooser = make_chooser([make_entry(shard, shard) for shard in shards])
         chooser.server_limits.set_limit("shard-1", 1.0, 0.0)
         chooser.server_limits.get_share = lambda service: 0.01
-        route = make_route(shards, least_coverage=0.9)
-        actions = RunningCall(make_request(), route, shards, chooser, 0).start(0.0)
-        (finish,) = actions
+        route = make_route(shards, least_coverage=least_coverage)
+        return RunningCall(make_request(), route, shards, chooser, 0).start(0.0)
+
+    def test_query_that_limits_stop_takes_nothing_from_other_shards(self):
+        (finish,) = self.start_query(least_coverage=0.9)
         self.assertIs(finish.result.outcome, CallOutcome.NOT_RUN)
         self.assertIs(finish.result.reason, CallReason.SERVER_LIMIT)
 
     def test_query_goes_on_without_the_shards_that_limits_stop(self):
-        shards = ("shard-0", "shard-1")
-        chooser = make_chooser([make_entry(shard, shard) for shard in shards])
-        chooser.server_limits.set_limit("shard-1", 1.0, 0.0)
-        chooser.server_limits.get_share = lambda service: 0.01
-        route = make_route(shards, least_coverage=0.5)
-        actions = RunningCall(make_request(), route, shards, chooser, 0).start(0.0)
+        actions = self.start_query(least_coverage=0.5)
         sent = [action.entry.server for action in actions]
         self.assertEqual(sent, ["shard-0"])
 
