--- a/currantwharf/platform/caller_protocol.py
+++ b/currantwharf/platform/caller_protocol.py
@@ -207,12 +207,12 @@
 def _write_result(result: CallResult, route: Route, responder: Responder) -> None:
     if result.outcome is not CallOutcome.ANSWERED:
         headers: tuple[Header, ...] = ()
+        status = STATUS_BY_OUTCOME[result.outcome]
         if result.outcome is CallOutcome.NOT_RUN:
             headers = ((names.RETRY_AFTER, b"%.3f" % result.retry_after_s),)
+            if result.reason is CallReason.SERVER_LIMIT:
+                status = STOPPED_BY_LIMITS_STATUS
         body = f"{result.outcome}: {result.reason}\n".encode()
-        status = STATUS_BY_OUTCOME[result.outcome]
-        if headers and result.reason is CallReason.SERVER_LIMIT:
-            status = STOPPED_BY_LIMITS_STATUS
         responder.finish(status, headers, body)
     elif route.shards:
         missing = result.coverage.shards - result.coverage.answered
