Log and count what becomes of connections that break under requests

The report on requests that crash servers could not be traced: no line said whether a broken connection was counted as a crash, ruled out or forgotten, and the refusal of a held request was not logged.

--- a/currantwharf/gateway/entry_point.py
+++ b/currantwharf/gateway/entry_point.py
@@ -105,6 +105,13 @@
         Return the running call, or None if the request was refused.
         """
         if self._crash_watch.is_held(request.fingerprint, request.arrived_at):
+            fields = {
+                "request_id": request.request_id,
+                "reason": CallReason.HELD.value,
+                "route": route.name,
+                "request": request.fingerprint,
+            }
+            log.info("refused", extra=fields)
             on_result(REFUSED_AS_HELD)
             return None
         services = route.shards or (self._choose_service(route),)
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -118,6 +118,7 @@
         )
         self._call_log = CallLog()
         self.metrics = CallMetrics()
+        self.chooser.crash_watch.on_event = self.metrics.count_event
         self._pause_watch = PauseWatch(clock.now(), clock.time_since_boot())
         self.peer_table = PeerTable(
             instance_info.instance, instance_info.data_centre, rng
@@ -222,6 +223,7 @@
         self._check_for_pause(now)
         if self.registry.has_config and now - self._started_at > MAX_UNCONFIRMED_S:
             self._start_serving()
+        self.chooser.crash_watch.expire(now)
         if self.chooser.crash_watch.has_new_losses:
             self.chooser.crash_watch.has_new_losses = False
             self.peers.send_to_all()
--- a/currantwharf/gateway/tests/test_crash_watch.py
+++ b/currantwharf/gateway/tests/test_crash_watch.py
@@ -46,3 +46,23 @@
             self.crash("a")
             self.watch.merge_reports(self.watch.list_recent_reports(1.0), 1.0)
         self.assertFalse(self.watch.is_held("f", 1.0))
+
+    def test_suspected_crash_that_nothing_decides_is_logged_and_counted(self):
+        events = []
+        self.watch.on_event = events.append
+        self.watch.on_connection_broken("f", "a", 0.0)
+        self.watch.expire(1.0)
+        with self.assertLogs("currantwharf", "INFO") as logs:
+            self.watch.expire(2.0)
+            self.watch.expire(3.0)
+        self.assertEqual(len(logs.records), 1)
+        self.assertEqual(logs.records[0].server, "a")
+        self.assertEqual(events, ["crashes_suspected", "crashes_undecided"])
+
+    def test_third_crash_is_logged_as_holding_the_request(self):
+        with self.assertLogs("currantwharf", "INFO") as logs:
+            for server in "abc":
+                self.crash(server)
+        counted = [record for record in logs.records if hasattr(record, "crashes")]
+        self.assertEqual([record.crashes for record in counted], [1, 2, 3])
+        self.assertEqual([r.is_held for r in counted], [False, False, True])
--- a/currantwharf/policy/crash_table.py
+++ b/currantwharf/policy/crash_table.py
@@ -37,9 +37,11 @@
 
     >>> table = CrashTable()
     >>> table.record_loss("f@camphor/0", "s1/boot-1", 0.0)
+    1
     >>> table.is_held("f@camphor/0", 1.0)
     False
     >>> table.record_loss("f@camphor/0", "s2/boot-1", 1.0)
+    2
     >>> table.is_held("f@camphor/0", 1.0)
     True
     """
@@ -49,23 +51,39 @@
         self._losses: dict[str, dict[str, Loss]] = {}
         self._released: frozenset[str] = frozenset()
 
-    def record_loss(self, key: str, boot: str, now: float) -> None:
-        """Record the loss of one boot of a server that was running a request."""
+    def record_loss(self, key: str, boot: str, now: float) -> int:
+        """Record the loss of one boot of a server that was running a request.
+
+        Return the number of the request's losses, or 0 if this one was known or its
+        request is released.
+        """
         if extract_fingerprint(key) in self._released:
-            return
+            return 0
         if key not in self._losses and len(self._losses) >= MAX_RECORDS:
             del self._losses[next(iter(self._losses))]
-        self._losses.setdefault(key, {}).setdefault(boot, Loss(boot, now))
+        losses = self._losses.setdefault(key, {})
+        if boot in losses:
+            return 0
+        losses[boot] = Loss(boot, now)
+        return len(losses)
 
     def record_answer(self, key: str) -> None:
         """Clear the losses of a request that was answered, unless it is held."""
         if len(self._losses.get(key, ())) < self._losses_before_hold:
             self._losses.pop(key, None)
 
-    def merge_reports(self, reports: tuple[CrashReport, ...], now: float) -> None:
-        """Record the losses that another instance has reported."""
-        for report in reports:
-            self.record_loss(report.key, report.boot, now - report.age_s)
+    def merge_reports(
+        self, reports: tuple[CrashReport, ...], now: float
+    ) -> list[tuple[CrashReport, int]]:
+        """Record the losses that another instance has reported.
+
+        Return those that were unknown, each with the number of its request's losses.
+        """
+        counts = (
+            (report, self.record_loss(report.key, report.boot, now - report.age_s))
+            for report in reports
+        )
+        return [(report, count) for report, count in counts if count]
 
     def release(self, fingerprints: tuple[str, ...]) -> None:
         """Set the fingerprints that operators have released.
