Check after a broken connection whether its server still accepts one

What callers saw: a request that crashes the servers that run it reached more and more of them, whichever instance it came to.

Cause: a broken connection counts as a crash only if a connection to the server then fails. The check opened none: when it ran, the broken connection itself still counted as open. So a crash was counted only if another request happened to need a connection within 1.5 s.

Change: the check runs 20 ms later, when all connections that the crash broke are closed. Stand-in servers can now be crashed by a request.

Evidence: test_lookup_that_crashed_servers_reaches_none_when_it_comes_again failed before (504 and further runs instead of 503) and passes now.

--- a/currantwharf/gateway/call_runner.py
+++ b/currantwharf/gateway/call_runner.py
@@ -26,6 +26,9 @@
 
 ABANDON_DELAY_S = 0.3  # lets the work for a disconnected caller end by itself
 EXPIRY_DELAY_S = 0.3  # after an attempt's deadline, until it is cancelled
+# From a broken connection to the check whether its server still accepts one. By then the
+# other connections of a server that crashed are known to be broken, too.
+CRASH_CHECK_DELAY_S = 0.02
 
 
 class Call:
@@ -176,8 +179,9 @@
         watch, fingerprint = self._chooser.crash_watch, call.state.request.fingerprint
         if result is ConnectionFailure.BROKEN:
             watch.on_connection_broken(fingerprint, entry.server, now)
-            # Reconnect at once: a refused connection proves that the server is gone.
-            self._pools.get(entry).preconnect()
+            # A refused connection proves that the server is gone.
+            pool = self._pools.get(entry)
+            self._reactor.callLater(CRASH_CHECK_DELAY_S, pool.preconnect)
         elif isinstance(result, BackendAnswer) and result.signature:
             watch.on_answer(fingerprint, entry.server)
 
--- a/currantwharf/platform/tests/test_end_to_end.py
+++ b/currantwharf/platform/tests/test_end_to_end.py
@@ -147,6 +147,26 @@
         runs = [r for s in self.site.servers.values() for r in s.runs]
         self.assertEqual(runs, ["request-1"])
 
+    def crash_servers_by(self, target):
+        for server in self.site.servers.values():
+            server.faults.crashed_by = target
+
+    def count_runs(self):
+        return sum(len(server.runs) for server in self.site.servers.values())
+
+    def test_lookup_that_crashed_servers_reaches_none_when_it_comes_again(self):
+        """No other request shows that the servers are gone."""
+        self.crash_servers_by(b"/lookup/bad")
+        result_of(self.send(b"/lookup/bad"))
+        self.assertGreaterEqual(self.count_runs(), 3)
+        run_for(1.0)
+        before = self.count_runs()
+        for number in (0, 1, 0, 1):
+            response = result_of(self.send(b"/lookup/bad", number))
+            self.assertEqual(response.status, 503)
+        self.assertEqual(self.count_runs(), before)
+        self.assertEqual(result_of(self.send(b"/lookup/good")).status, 200)
+
     def test_limited_servers_get_few_orders_until_they_name_no_limit_any_more(self):
         servers = [
             server
--- a/currantwharf/standin/platform_site.py
+++ b/currantwharf/standin/platform_site.py
@@ -19,6 +19,7 @@
 
 DATA_CENTRES = {"taipei-a": "taipei", "taichung-a": "taichung"}
 HOST = "127.0.0.1"
+RESTART_S = 0.3  # from a server's crash until it listens again
 ORDERS_SERVICE = "orders"
 
 RequestHandler = Callable[[HttpRequest, Responder], None]
@@ -56,7 +57,8 @@
 
     def stop(self) -> None:
         """Close all ports."""
-        for port in self.ports:
+        ports, self.ports = self.ports, []
+        for port in ports:
             port.stopListening()
 
     def get_service(self, server: str) -> str:
@@ -155,19 +157,44 @@
         )
         server = ShardServer(self.reactor, name, 2, self.work_s)
         self.servers[name] = server
-        address = self.proxied(self._listen(server.handle))
+        connections: set[CallerConnection] = set()
+        own_address = self._listen(server.handle, connections)
+        port = self.ports[-1]
+        server.on_crash = lambda: self._crash(port, connections)
+        address = self.proxied(own_address)
         self._entries[name] = (service, data_centre, address)
         self.register(name)
 
-    def _listen(self, handle: RequestHandler) -> str:
+    def _crash(self, port: Any, connections: set[CallerConnection]) -> None:
+        """Reset a server's connections and let it listen again `RESTART_S` later."""
+        if not port.connected:
+            return
+        port.port = port.getHost().port
+        port.stopListening()
+        for conn in list(connections):
+            conn.transport.abortConnection()
+        self.reactor.callLater(RESTART_S, self._restart, port)
+
+    def _restart(self, port: Any) -> None:
+        if port in self.ports:
+            port.startListening()
+
+    def _listen(
+        self, handle: RequestHandler, connections: set[CallerConnection] | None = None
+    ) -> str:
+        """Listen at a free port; keep its open connections in `connections`."""
+        open_connections = set() if connections is None else connections
+
         def build() -> CallerConnection:
-            return CallerConnection(
+            conn = CallerConnection(
                 handle,
                 RequestLimits(),
                 self.reactor.seconds,
                 lambda: False,
-                lambda conn: None,
+                open_connections.discard,
             )
+            open_connections.add(conn)
+            return conn
 
         factory = Factory.forProtocol(build)
         port = self.reactor.listenTCP(0, factory, interface=HOST)
--- a/currantwharf/standin/shard_server.py
+++ b/currantwharf/standin/shard_server.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 from currantwharf.http1 import Header, HttpRequest, Responder
@@ -22,6 +23,7 @@
 class ShardServer:
     """A backend server that runs `slots` requests at a time and signs the answers.
 
+    `on_crash` is called when a request crashes the server, which then forgets all others.
     For the assertions of tests, `received_ids` lists the ids of all requests received,
     `received_times` when each was received, and `runs` the ids of those that started
     to run.
@@ -33,6 +35,7 @@
         self.received_ids: list[str] = []
         self.received_times: list[float] = []
         self.runs: list[str] = []
+        self.on_crash: Callable[[], None] = lambda: None
         self._reactor = reactor
         self._slots = slots
         self._work_s = work_s
@@ -64,6 +67,11 @@
             self._running_count += 1
             request, responder = self._waiting.popleft()
             self.runs.append((request.get(names.REQUEST_ID) or b"").decode())
+            if self.faults.crashed_by and self.faults.crashed_by in request.target:
+                self._waiting.clear()
+                self._running_count = 0
+                self.on_crash()
+                return
             work_s = self._work_s * self.faults.slow
             self._reactor.callLater(work_s, self._finish, request, responder)
 
