Clear a request's crashes by its own answers only, at all instances

What callers saw: nothing yet. Two faults were found while the crash of a server became certain to be counted.

Cause: any signed answer cleared the crashes of a request, also a failure of a server that fails everything, so a request that crashes servers was taken for sound again. And a query under way at a rack that is lost counts three crashes and more at once: it would have been held for ten minutes although servers of other shards answered it.

Change: only an answer of a server that ran the request to its end clears it. An answer that was sent before a connection broke no longer rules out the crash of its server.

Evidence: test_failing_servers_do_not_clear_the_crashes_of_a_request failed before. The tests of a lost rack, of an answer sent before the crash and of telling others play what the old interface could not express.

--- a/currantwharf/gateway/call_runner.py
+++ b/currantwharf/gateway/call_runner.py
@@ -26,8 +26,8 @@
 
 ABANDON_DELAY_S = 0.3  # lets the work for a disconnected caller end by itself
 EXPIRY_DELAY_S = 0.3  # after an attempt's deadline, until it is cancelled
-# From a broken connection to the check whether its server still accepts one. By then the
-# other connections of a server that crashed are known to be broken, too.
+# From a broken connection to the check whether its server still accepts one. By then
+# the other connections of a server that crashed are known to be broken, too.
 CRASH_CHECK_DELAY_S = 0.02
 
 
@@ -160,7 +160,7 @@
             if isinstance(exchange_result, HttpResponse)
             else exchange_result
         )
-        self._update_crash_watch(call, entry, result, now)
+        self._update_crash_watch(call, attempt, entry, result, now)
         if not isinstance(result, BackendAnswer) or not result.is_success:
             log_failed_attempt(call.state, attempt, entry, result, now)
         if isinstance(result, BackendAnswer) and result.verdict is Verdict.MISDIRECTED:
@@ -174,7 +174,12 @@
             self._schedule_wake(call, now)
 
     def _update_crash_watch(
-        self, call: Call, entry: ServerEntry, result: AttemptResult, now: float
+        self,
+        call: Call,
+        attempt: int,
+        entry: ServerEntry,
+        result: AttemptResult,
+        now: float,
     ) -> None:
         watch, fingerprint = self._chooser.crash_watch, call.state.request.fingerprint
         if result is ConnectionFailure.BROKEN:
@@ -183,7 +188,10 @@
             pool = self._pools.get(entry)
             self._reactor.callLater(CRASH_CHECK_DELAY_S, pool.preconnect)
         elif isinstance(result, BackendAnswer) and result.signature:
-            watch.on_answer(fingerprint, entry.server)
+            sent_at = self._chooser.get_evidence(entry).in_flight.get(attempt, now)
+            watch.on_server_answer(entry.server, sent_at)
+            if result.verdict is Verdict.ANSWERED:
+                watch.on_request_answered(fingerprint, now)
 
     def _wake(self, call: Call) -> None:
         call.timer = None
--- a/currantwharf/gateway/tests/test_call_runner.py
+++ b/currantwharf/gateway/tests/test_call_runner.py
@@ -2,7 +2,12 @@
 
 from twisted.internet.task import Clock
 
-from currantwharf.gateway.call_runner import ABANDON_DELAY_S, EXPIRY_DELAY_S, CallRunner
+from currantwharf.gateway.call_runner import (
+    ABANDON_DELAY_S,
+    CRASH_CHECK_DELAY_S,
+    EXPIRY_DELAY_S,
+    CallRunner,
+)
 from currantwharf.http1 import ConnectionFailure, HttpResponse
 from currantwharf.platform.backend_protocol import PlatformBackendWire
 from currantwharf.tests.gateway_builders import (
@@ -109,6 +114,24 @@
         self.assertEqual(len(self.pools.sent), 4)
         self.assertEqual(self.results, [])
 
+    def test_failing_servers_do_not_clear_the_crashes_of_a_request(self):
+        table = self.chooser.crash_watch.table
+        for server in ("s1", "s2"):
+            table.record_loss("f", server, 0.0)
+        self.start()
+        headers = ((b"x-server-stamp", b"s"), (b"x-request-id", b"r1"))
+        self.pools.sent[0].finish(HttpResponse(500, headers, b"failed"))
+        table.record_loss("f", "s3", 0.1)
+        self.assertTrue(self.chooser.crash_watch.is_held("f", 0.2))
+
+    def test_crash_is_checked_once_the_broken_connection_is_closed(self):
+        """A check while it counts as open would open no other."""
+        self.start()
+        self.pools.sent[0].finish(ConnectionFailure.BROKEN)
+        self.assertEqual(self.pools.preconnects, 0)
+        self.clock.advance(CRASH_CHECK_DELAY_S)
+        self.assertEqual(self.pools.preconnects, 1)
+
     def test_work_for_a_disconnected_caller_is_cancelled_soon(self):
         call = self.start()
         self.runner.abandon(call)
--- a/currantwharf/gateway/tests/test_crash_watch.py
+++ b/currantwharf/gateway/tests/test_crash_watch.py
@@ -1,6 +1,6 @@
 import unittest
 
-from currantwharf.gateway.crash_watch import CrashWatch
+from currantwharf.gateway.crash_watch import ANSWER_VALID_S, CrashWatch
 
 
 class CrashWatchTests(unittest.TestCase):
@@ -21,10 +21,55 @@
     def test_lost_answer_is_not_a_crash(self):
         for server in "abcd":
             self.watch.on_connection_broken("f", server, 0.0)
-            self.watch.on_answer("other", server)
+            self.watch.on_server_answer(server, sent_at=0.0)
             self.watch.on_unreachable(server, 0.1)
         self.assertFalse(self.watch.is_held("f", 1.0))
 
+    def test_answer_sent_before_the_crash_does_not_rule_it_out(self):
+        """Both requests were at the server, and one was answered before it crashed."""
+        for server in "abc":
+            self.watch.on_connection_broken("f", server, 1.0)
+            self.watch.on_server_answer(server, sent_at=0.9)
+            self.watch.on_unreachable(server, 1.1)
+        self.assertTrue(self.watch.is_held("f", 2.0))
+
+    def test_lookup_under_way_at_a_rack_that_is_lost_is_not_held(self):
+        """Servers of other shards answer it, before and after the crashes."""
+        for server in "abc":
+            self.watch.on_connection_broken("before", server, 1.0)
+            self.watch.on_connection_broken("after", server, 1.0)
+        self.watch.on_request_answered("before", 0.9)
+        for server in "abc":
+            self.watch.on_unreachable(server, 1.1)
+        self.watch.on_request_answered("after", 1.2)
+        self.assertFalse(self.watch.is_held("before", 1.3))
+        self.assertFalse(self.watch.is_held("after", 1.3))
+        reports = self.watch.list_recent_reports(1.3)
+        self.assertEqual([report for report in reports if not report.is_cleared], [])
+
+    def test_other_instances_are_told_that_a_held_request_was_answered(self):
+        other = CrashWatch()
+        for server in "abc":
+            self.crash(server)
+        other.merge_reports(self.watch.list_recent_reports(0.5), 0.5)
+        self.assertTrue(other.is_held("f", 0.6))
+        self.watch.has_new_losses = False
+        self.watch.on_request_answered("f", 0.7)
+        self.assertTrue(self.watch.has_new_losses)
+        other.merge_reports(self.watch.list_recent_reports(0.8), 0.8)
+        self.assertFalse(other.is_held("f", 0.9))
+        third = CrashWatch()
+        for server in "abc":
+            third.table.record_loss("f", server, 0.1)
+        other.merge_reports(third.list_recent_reports(1.0), 1.0)
+        self.assertFalse(other.is_held("f", 1.1))
+
+    def test_old_answer_does_not_keep_a_request_from_being_held(self):
+        self.watch.on_request_answered("f", 0.0)
+        for server in "abc":
+            self.crash(server, now=ANSWER_VALID_S + 1.0)
+        self.assertTrue(self.watch.is_held("f", ANSWER_VALID_S + 2.0))
+
     def test_late_connection_failure_does_not_confirm_a_crash(self):
         for server in "abc":
             self.watch.on_connection_broken("f", server, 0.0)
--- a/currantwharf/policy/crash_report.py
+++ b/currantwharf/policy/crash_report.py
@@ -9,9 +9,11 @@
 
     `key` identifies the request by its fingerprint, and by its shard if only one shard
     is involved. `boot` identifies the server and its boot. The loss happened `age_s`
-    seconds ago.
+    seconds ago. If `is_cleared` is true, the request was answered `age_s` seconds ago
+    instead, so this loss and all others before do not count.
     """
 
     key: str
     boot: str
     age_s: float
+    is_cleared: bool = False
--- a/currantwharf/policy/crash_table.py
+++ b/currantwharf/policy/crash_table.py
@@ -72,6 +72,14 @@
         if len(self._losses.get(key, ())) < self._losses_before_hold:
             self._losses.pop(key, None)
 
+    def clear(self, key: str) -> str | None:
+        """Clear the losses of a request, also if it is held.
+
+        Return the boot that was lost first, or None if no loss was known.
+        """
+        losses = self._losses.pop(key, None)
+        return next(iter(losses)) if losses else None
+
     def merge_reports(
         self, reports: tuple[CrashReport, ...], now: float
     ) -> list[tuple[CrashReport, int]]:
--- a/currantwharf/standin/shard_server.py
+++ b/currantwharf/standin/shard_server.py
@@ -23,10 +23,10 @@
 class ShardServer:
     """A backend server that runs `slots` requests at a time and signs the answers.
 
-    `on_crash` is called when a request crashes the server, which then forgets all others.
-    For the assertions of tests, `received_ids` lists the ids of all requests received,
-    `received_times` when each was received, and `runs` the ids of those that started
-    to run.
+    `on_crash` is called when a request crashes the server, which then forgets all
+    others. For the assertions of tests, `received_ids` lists the ids of all requests
+    received, `received_times` when each was received, and `runs` the ids of those that
+    started to run.
     """
 
     def __init__(self, reactor: Any, server: str, slots: int, work_s: float) -> None:
