Count each start of a server that a request crashes

What callers saw: an order that crashes its servers was sent on for as long as callers repeated it, where a service has two servers that start again under their ids.

Cause: crashes were counted by the server's id. The second crash of a server that starts again under its id added nothing, so a service of two servers never reached three. Such a server also kept the connections and the evidence of its earlier start. And a server that is back at once accepts the connection that was to confirm its crash.

Change: the start time in a registration tells starts apart; a restarted server is forgotten like one that is gone. A crash is also confirmed by the end of the server within 6 s: its address is another's, its registration is removed, or it has started again.

Instances of earlier builds count the id and tell it, so while builds are mixed one crash may count twice.

--- a/currantwharf/gateway/call_runner.py
+++ b/currantwharf/gateway/call_runner.py
@@ -166,6 +166,7 @@
         if isinstance(result, BackendAnswer) and result.verdict is Verdict.MISDIRECTED:
             # Requests still waiting for a connection would reach the wrong server too.
             self._pools.get(entry).cancel_all_unsent()
+            self._chooser.crash_watch.on_ended(entry.server, now)
         actions = call.state.on_attempt_result(attempt, result, now)
         if actions:
             self._perform(call, actions, now)
@@ -183,7 +184,7 @@
     ) -> None:
         watch, fingerprint = self._chooser.crash_watch, call.state.request.fingerprint
         if result is ConnectionFailure.BROKEN:
-            watch.on_connection_broken(fingerprint, entry.server, now)
+            watch.on_connection_broken(fingerprint, entry, now)
             # A refused connection proves that the server is gone.
             pool = self._pools.get(entry)
             self._reactor.callLater(CRASH_CHECK_DELAY_S, pool.preconnect)
--- a/currantwharf/gateway/crash_watch.py
+++ b/currantwharf/gateway/crash_watch.py
@@ -1,7 +1,9 @@
 """Detection of requests that crash the backend servers which run them.
 
 A connection that breaks under a request does not prove a crash: the server may have
-lost a single answer. It counts as a crash if the server then cannot be connected to.
+lost a single answer. It counts as a crash if the server then cannot be connected to, or
+is found to have ended: another server has its address, its registration is removed, or
+it has started again under its id.
 Losses are sent to the other instances, so a request is held everywhere after its third
 crash in the whole fleet.
 
@@ -13,12 +15,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from currantwharf.gateway.server_entry import ServerEntry
 from currantwharf.policy.crash_report import CrashReport
 from currantwharf.policy.crash_table import CrashTable
 from currantwharf.runtime.component_log import component_logger
 
 CRASHES_TO_HOLD = 3  # servers that a request crashes before every instance refuses it
 CONFIRM_WINDOW_S = 1.5  # within which a failed connect confirms the crash
+# Within which the end of the server confirms it. A registration lapses when the server
+# has been silent for three of its intervals, 3.6 s, and may be read a second later.
+END_WINDOW_S = 6.0
 MAX_SUSPECT_SERVERS = 512
 # Crashes under a request that was answered at most this long before do not count.
 ANSWER_VALID_S = 5.0
@@ -30,9 +36,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Suspect:
-    """A request under which a connection broke, `is_alive` if its server answered."""
+    """A request under which a connection broke.
+
+    `boot` is the start of the server that had the request; `is_alive` is true if the
+    server has answered another request that it was sent later.
+    """
 
     fingerprint: str
+    boot: str
     broken_at: float
     is_alive: bool = False
 
@@ -53,25 +64,37 @@
         self._answered_at: OrderedDict[str, float] = OrderedDict()
         self._cleared_boots: dict[str, str] = {}
 
-    def on_connection_broken(self, fingerprint: str, server: str, now: float) -> None:
+    def on_connection_broken(
+        self, fingerprint: str, entry: ServerEntry, now: float
+    ) -> None:
         """Record that a connection broke under a request."""
+        server = entry.server
         if len(self._suspects_by_server) >= MAX_SUSPECT_SERVERS:
             self._suspects_by_server.pop(next(iter(self._suspects_by_server)))
         suspects = self._suspects_by_server.setdefault(server, [])
-        suspects.append(Suspect(fingerprint, now))
+        suspects.append(Suspect(fingerprint, entry.boot, now))
         self._report("crash suspected", "crashes_suspected", fingerprint, server)
 
     def on_unreachable(self, server: str, now: float) -> None:
         """Confirm the suspected crashes of a server that cannot be reached."""
-        kept = []
-        for suspect in self._suspects_by_server.pop(server, ()):
-            is_recent = now - suspect.broken_at <= CONFIRM_WINDOW_S
-            if suspect.is_alive or not is_recent:
-                kept.append(suspect)
-            else:
-                self._confirm(suspect, server, now)
-        if kept:
-            self._suspects_by_server[server] = kept
+        self._confirm_suspects(
+            server,
+            lambda suspect: (
+                not suspect.is_alive and now - suspect.broken_at <= CONFIRM_WINDOW_S
+            ),
+            now,
+        )
+
+    def on_ended(self, server: str, now: float) -> None:
+        """Confirm the suspected crashes of a server that is gone."""
+        self._confirm_suspects(server, lambda suspect: not suspect.is_alive, now)
+
+    def on_restarted(self, server: str, now: float) -> None:
+        """Confirm the suspected crashes of a server that started again under its id.
+
+        An answer after the crash does not rule it out, as it came from the new start.
+        """
+        self._confirm_suspects(server, lambda suspect: True, now)
 
     def on_server_answer(self, server: str, sent_at: float) -> None:
         """Record that a server has answered a request sent at `sent_at`.
@@ -99,7 +122,7 @@
             if not self._is_answered(fingerprint, now):
                 del self._cleared_boots[fingerprint]
         for server, suspects in list(self._suspects_by_server.items()):
-            kept = [s for s in suspects if now - s.broken_at <= CONFIRM_WINDOW_S]
+            kept = [s for s in suspects if now - s.broken_at <= END_WINDOW_S]
             for suspect in suspects[: len(suspects) - len(kept)]:
                 self._report_unconfirmed(suspect, server)
             if kept:
@@ -145,15 +168,28 @@
         answered_at = self._answered_at.get(fingerprint)
         return answered_at is not None and broken_at - answered_at < ANSWER_VALID_S
 
+    def _confirm_suspects(
+        self, server: str, is_crash: Callable[[Suspect], bool], now: float
+    ) -> None:
+        """Count the suspected crashes for which `is_crash` is true; keep the others."""
+        kept = []
+        for suspect in self._suspects_by_server.pop(server, ()):
+            if is_crash(suspect):
+                self._confirm(suspect, server, now)
+            else:
+                kept.append(suspect)
+        if kept:
+            self._suspects_by_server[server] = kept
+
     def _confirm(self, suspect: Suspect, server: str, now: float) -> None:
         fingerprint = suspect.fingerprint
         if self._is_answered(fingerprint, suspect.broken_at):
             self._report_unconfirmed(replace(suspect, is_alive=True), server)
             return
-        count = self.table.record_loss(fingerprint, server, now)
+        count = self.table.record_loss(fingerprint, suspect.boot, now)
         if count:
             self.has_new_losses = True
-            self._report_crash(fingerprint, server, count)
+            self._report_crash(fingerprint, suspect.boot, count)
 
     def _report(
         self, message: str, event: str, fingerprint: str, server: str, **fields: object
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -109,6 +109,7 @@
         self.chooser.server_limits.on_change = self._on_limit_change
         self.registry = Registry(directory, self.chooser)
         self.registry.on_confirmed = self._start_serving
+        self.registry.on_restarted = self._forget_server
         self.pools = ServerPools(
             reactor, clock, self.chooser, self._get_max_connections
         )
--- a/currantwharf/gateway/registry.py
+++ b/currantwharf/gateway/registry.py
@@ -36,6 +36,7 @@
 
     A first read may be seconds old. `is_confirmed` is true once the store, or a peer
     that serves, has shown that no change is missing; `on_confirmed` is called then.
+    `on_restarted` is called with the id of a server that has started again under it.
     """
 
     def __init__(self, directory: ServerDirectory, chooser: ServerChooser) -> None:
@@ -46,6 +47,7 @@
         self.store_returned_at = -STORE_RETURN_WINDOW_S
         self.is_confirmed = False
         self.on_confirmed: Callable[[], None] = lambda: None
+        self.on_restarted: Callable[[str], None] = lambda server: None
         self._chooser = chooser
         self._data_centre_states: dict[str, tuple[int, bool]] = {}
         self._config_revision = 0
@@ -189,14 +191,21 @@
 
     @_apply.register
     def _(self, change: ServerChanged, revision: int, now: float) -> bool:
+        known = self.directory.find_used(change.entry.server)
         is_new = self.directory.put(change.entry, revision)
         if is_new:
+            if known is not None and change.entry.is_restart_of(known):
+                self._chooser.crash_watch.on_restarted(known.server, now)
+                self.on_restarted(known.server)
             self._chooser.on_registration(change.entry, now)
         return is_new
 
     @_apply.register
     def _(self, change: ServerRemoved, revision: int, now: float) -> bool:
-        return self.directory.remove(change.server, revision, now, change.may_return)
+        is_new = self.directory.remove(change.server, revision, now, change.may_return)
+        if is_new and not change.may_return:
+            self._chooser.crash_watch.on_ended(change.server, now)
+        return is_new
 
     @_apply.register
     def _(self, change: DataCentreChanged, revision: int, now: float) -> bool:
--- a/currantwharf/gateway/server_directory.py
+++ b/currantwharf/gateway/server_directory.py
@@ -89,6 +89,14 @@
         registered = self._entries.get(server)
         return registered[1] if registered is not None else None
 
+    def find_used(self, server: str) -> ServerEntry | None:
+        """Return the entry of a server that is in use, registered or kept, or None."""
+        registered = self._entries.get(server)
+        if registered is not None:
+            return registered[1]
+        removal = self._removed.get(server)
+        return removal.kept_entry if removal is not None else None
+
     def is_return_pending(self, server: str) -> bool:
         """Return whether a removed server is kept in case it registers again."""
         removal = self._removed.get(server)
@@ -110,10 +118,6 @@
         return removal.revision if removal is not None else 0
 
     def _remove_from_service(self, server: str) -> None:
-        registered = self._entries.get(server)
-        removal = self._removed.get(server)
-        entry = (
-            registered[1] if registered is not None else removal and removal.kept_entry
-        )
+        entry = self.find_used(server)
         if entry:
             self._entries_by_service.get(entry.service, {}).pop(server, None)
--- a/currantwharf/gateway/server_entry.py
+++ b/currantwharf/gateway/server_entry.py
@@ -7,9 +7,11 @@
 class ServerEntry:
     """One registration of a backend server.
 
-    `server` is an id that is new for each start of the server process. `leaving` is
+    `server` is its id. `leaving` is
     true once the server is to get no new requests. `warm_up_s` is how long the server
-    stays cold after the registration was written, in seconds.
+    stays cold after the registration was written, in seconds. `started_ms` is the Unix
+    time in milliseconds at which the server process started, 0 if unknown: a server may
+    start again under the id that it had.
     """
 
     server: str
@@ -19,3 +21,13 @@
     slots: int
     leaving: bool = False
     warm_up_s: float = 0.0
+    started_ms: int = 0
+
+    @property
+    def boot(self) -> str:
+        """The id of this start of the server process."""
+        return f"{self.server}/{self.started_ms}" if self.started_ms else self.server
+
+    def is_restart_of(self, other: "ServerEntry") -> bool:
+        """Return whether `other` is an earlier start of the same server."""
+        return self.server == other.server and self.started_ms > other.started_ms > 0
--- a/currantwharf/gateway/tests/test_registry.py
+++ b/currantwharf/gateway/tests/test_registry.py
@@ -31,6 +31,22 @@
         self.assertTrue(self.registry.apply_change(config_change(9, 9), 0.0))
         self.assertEqual(self.registry.config.version, 9)
 
+    def test_server_that_starts_again_under_its_id_is_another_server(self):
+        """Its connections and the evidence of its earlier start are void."""
+        restarted = []
+        self.registry.on_restarted = restarted.append
+        for revision, started_ms in ((1, 0), (2, 5), (3, 5), (4, 9), (5, 7)):
+            change = server_change("s1", revision, started_ms=started_ms)
+            self.registry.apply_change(change, 0.0)
+        self.assertEqual(restarted, ["s1"])
+
+    def test_crash_is_confirmed_by_the_end_of_the_registration(self):
+        self.registry.apply_change(server_change("s1", 1), 0.0)
+        watch = self.chooser.crash_watch
+        watch.on_connection_broken("f", self.registry.directory.get("s1"), 1.0)
+        self.registry.apply_change(removal("s1", 2), 4.6)
+        self.assertEqual([r.boot for r in watch.list_recent_reports(4.7)], ["s1"])
+
     def test_longest_prefix_of_the_host_wins(self):
         long = make_route()
         short = make_route(("a",))
--- a/currantwharf/platform/tests/test_end_to_end.py
+++ b/currantwharf/platform/tests/test_end_to_end.py
@@ -10,12 +10,13 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
+from currantwharf.gateway.crash_watch import CRASHES_TO_HOLD
 from currantwharf.gateway.shutdown import BALANCER_DETECTION_S
 from currantwharf.http1 import ConnectionPool, Exchange, encode_request
 from currantwharf.platform.platform_instance import MAX_ACCEPT_DELAY_S, PlatformInstance
 from currantwharf.platform.platform_settings import load_platform_settings
 from currantwharf.runtime.listening_socket import open_listening_socket
-from currantwharf.standin.platform_site import ORDERS_SERVICE, PlatformSite
+from currantwharf.standin.platform_site import ORDERS_SERVICE, RESTART_S, PlatformSite
 from currantwharf.tests.loopback import result_of, run_for, run_until
 
 FIRST_PORTS = iter(range(21000, 29000, 20))
@@ -167,6 +168,15 @@
         self.assertEqual(self.count_runs(), before)
         self.assertEqual(result_of(self.send(b"/lookup/good")).status, 200)
 
+    def test_order_that_crashes_two_servers_again_and_again_is_refused(self):
+        """They start again under their ids, so there are never three different ids."""
+        self.crash_servers_by(b"/order/bad")
+        for number in range(8):
+            result_of(self.send(b"/order/bad", number % 2, method=b"POST", body=b"x"))
+            run_for(RESTART_S + 0.3)
+        self.assertEqual(self.count_runs(), CRASHES_TO_HOLD)
+        self.assertEqual(self.send_order(0).status, 200)
+
     def test_limited_servers_get_few_orders_until_they_name_no_limit_any_more(self):
         servers = [
             server
--- a/currantwharf/standin/platform_site.py
+++ b/currantwharf/standin/platform_site.py
@@ -19,6 +19,7 @@
 
 DATA_CENTRES = {"taipei-a": "taipei", "taichung-a": "taichung"}
 HOST = "127.0.0.1"
+FIRST_START_MS = 1_700_000_000_000  # Unix time of the servers' first start
 RESTART_S = 0.3  # from a server's crash until it listens again
 ORDERS_SERVICE = "orders"
 
@@ -115,6 +116,7 @@
             "state": state,
             "warmup-left-ms": 0,
             "sequence": 1,
+            "born": self._started_ms[server],
         }
         self.store.put(f"servers/{server}", {**entry, **changes})
 
@@ -148,6 +150,7 @@
         return path
 
     _entries: dict[str, tuple[str, str, str]] = field(default_factory=dict)
+    _started_ms: dict[str, int] = field(default_factory=dict)
 
     def _start_server(self, service: str, replica: int) -> None:
         local_number, index = divmod(replica, len(DATA_CENTRES))
@@ -160,24 +163,29 @@
         connections: set[CallerConnection] = set()
         own_address = self._listen(server.handle, connections)
         port = self.ports[-1]
-        server.on_crash = lambda: self._crash(port, connections)
+        server.on_crash = lambda: self._crash(name, port, connections)
+        self._started_ms[name] = FIRST_START_MS
         address = self.proxied(own_address)
         self._entries[name] = (service, data_centre, address)
         self.register(name)
 
-    def _crash(self, port: Any, connections: set[CallerConnection]) -> None:
-        """Reset a server's connections and let it listen again `RESTART_S` later."""
+    def _crash(
+        self, server: str, port: Any, connections: set[CallerConnection]
+    ) -> None:
+        """Reset a server's connections; it is back `RESTART_S` later under its id."""
         if not port.connected:
             return
         port.port = port.getHost().port
         port.stopListening()
         for conn in list(connections):
             conn.transport.abortConnection()
-        self.reactor.callLater(RESTART_S, self._restart, port)
+        self.reactor.callLater(RESTART_S, self._restart, server, port)
 
-    def _restart(self, port: Any) -> None:
+    def _restart(self, server: str, port: Any) -> None:
         if port in self.ports:
             port.startListening()
+            self._started_ms[server] += int(RESTART_S * 1000)
+            self.register(server)
 
     def _listen(
         self, handle: RequestHandler, connections: set[CallerConnection] | None = None
