Fetch the crashes that hellos have no room for

What callers saw: nothing reported; found by reading. An instance that starts, or was paused or cut off, sends a request on that the others hold.

Cause: hellos carry the newest eight crashes, that is two or three requests. Older ones were told once, when they happened. Besides, a table that is full dropped held requests first.

Change: hellos carry the number of crashes that their sender knows; an instance that knows fewer fetches all of them, at growing intervals while that brings nothing new. Held requests are the last to be dropped.

Evidence: test_restarted_instance_learns_of_every_request_that_crashes_servers fails without the fetch (40 held requests, 1 s of hellos).

--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -144,16 +144,13 @@
             self.peer_table,
             self.registry,
             lambda: (self.is_ready, self.registry_task.can_read),
-            lambda: self.chooser.crash_watch.list_recent_reports(clock.now()),
+            self.chooser.crash_watch,
             self._on_changes,
             self._on_server_reports,
             lambda: self.chooser.server_limits.list_reports(clock.now()),
             lambda reports: self.chooser.server_limits.merge_reports(
                 reports, clock.now()
             ),
-            lambda reports: self.chooser.crash_watch.merge_reports(
-                reports, clock.now()
-            ),
             rng,
         )
         self.relay = Relay(reactor, clock, instance_info, self.peer_table)
--- a/currantwharf/peers/hello.py
+++ b/currantwharf/peers/hello.py
@@ -41,7 +41,8 @@
     newest changes if they are small; an instance that lacks larger ones fetches them.
     `members` contains some of the instances that the sender knows, `losses` the newest
     losses of backend servers, and `counts` the number of instances in each data centre,
-    the sender's own first. `limits` tells what some servers have said of their limits.
+    the sender's own first. `limits` tells what some servers have said of their limits,
+    and `loss_count` how many losses the sender knows.
     """
 
     name: str
@@ -58,6 +59,7 @@
     cores: float = 0.0
     counts: tuple[InstanceCount, ...] = ()
     limits: tuple[LimitReport, ...] = ()
+    loss_count: int = 0
 
 
 _decoder = msgspec.msgpack.Decoder(Hello)
--- /dev/null
+++ b/currantwharf/peers/peer_fetch.py
@@ -0,0 +1,48 @@
+"""One HTTP request to another instance."""
+
+from collections.abc import Callable
+from typing import Any
+
+from currantwharf.http1 import (
+    ConnectionFailure,
+    ConnectionPool,
+    Exchange,
+    HttpResponse,
+    encode_request,
+)
+from currantwharf.runtime.clock import Clock
+
+FETCH_TIMEOUT_S = 1.0  # short, because peers answer from memory
+
+
+def fetch_from_peer(
+    reactor: Any,
+    clock: Clock,
+    address: tuple[str, int],
+    target: bytes,
+    on_body: Callable[[bytes | None], None],
+) -> None:
+    """Request `target`; `on_body` gets the body, or None if there was no answer."""
+    pool = ConnectionPool(reactor, clock.now, address, 1)
+    data = encode_request(b"GET", target, [(b"host", address[0].encode())])
+
+    def finish(result: HttpResponse | ConnectionFailure) -> None:
+        if timer.active():
+            timer.cancel()
+        pool.close()
+        if isinstance(result, ConnectionFailure) or result.status != 200:
+            on_body(None)
+        else:
+            on_body(result.body)
+
+    exchange = Exchange(
+        lambda now: data,
+        lambda response: True,
+        clock.now() + FETCH_TIMEOUT_S,
+        False,
+        finish,
+    )
+    timer = reactor.callLater(
+        FETCH_TIMEOUT_S, pool.cancel, exchange, ConnectionFailure.TIMED_OUT
+    )
+    pool.send(exchange)
--- a/currantwharf/peers/peer_task.py
+++ b/currantwharf/peers/peer_task.py
@@ -11,24 +11,17 @@
 from currantwharf.documents.decode_errors import DECODE_ERRORS
 from currantwharf.gateway.change_source import ChangeSource
 from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
+from currantwharf.gateway.crash_watch import CrashWatch
 from currantwharf.gateway.instance_info import InstanceInfo
 from currantwharf.gateway.limit_report import LimitReport
 from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.server_report import ServerReport
-from currantwharf.http1 import (
-    ConnectionFailure,
-    ConnectionPool,
-    Exchange,
-    HttpRequest,
-    HttpResponse,
-    Responder,
-    encode_request,
-    parse_count,
-)
+from currantwharf.http1 import HttpRequest, Responder, parse_count
+from currantwharf.peers.crash_sync import CRASHES_PATH, CrashSync
 from currantwharf.peers.hello import Hello, decode_hello, encode_hello
+from currantwharf.peers.peer_fetch import fetch_from_peer
 from currantwharf.peers.peer_table import PeerTable
 from currantwharf.peers.report_datagram import decode_reports, encode_reports
-from currantwharf.policy.crash_report import CrashReport
 from currantwharf.runtime.clock import Clock
 from currantwharf.runtime.component_log import component_logger
 from currantwharf.runtime.repeating_task import RepeatingTask
@@ -42,7 +35,6 @@
 STARTUP_SEEDING_S = 2.0  # time after the start in which every round contacts all seeds
 MAX_LIMIT_REPORTS = 16  # in a hello
 MAX_INLINE_BYTES = 900  # of changes in a datagram, which must fit into one packet
-FETCH_TIMEOUT_S = 1.0  # short, because peers answer from memory
 REMOTE_FETCH_DELAY_S = 0.7  # the local reader delivers most changes before this
 # If the store has failed any instance, the local reader may receive no changes at all.
 REMOTE_FETCH_DELAY_ON_STORE_FAILURE_S = 0.1
@@ -59,10 +51,10 @@
     """Gossip protocol of one instance, on its datagram socket.
 
     `get_status` returns whether this instance is serving and whether it can read the
-    store; `get_crash_reports` and `get_limit_reports` return the reports to send.
-    `on_changes` is called with the new changes received from a peer,
-    `on_server_reports` with what it has found of servers, `on_limit_reports` with what
-    it has seen of their limits, and `on_crash_reports` with its crash reports.
+    store; `get_limit_reports` returns the reports to send. `on_changes` is called with
+    the new changes received from a peer, `on_server_reports` with what it has found of
+    servers, and `on_limit_reports` with what it has seen of their limits. The crashes
+    in `crash_watch` are exchanged with all instances.
     `heard_at` is the monotonic time of the last hello received; `is_fetching` is true
     while changes are fetched from a peer.
     """
@@ -78,12 +70,11 @@
         table: PeerTable,
         registry: Registry,
         get_status: Callable[[], tuple[bool, bool]],
-        get_crash_reports: Callable[[], tuple[CrashReport, ...]],
+        crash_watch: CrashWatch,
         on_changes: Callable[[list[RevisedChange], ChangeSource], None],
         on_server_reports: Callable[[tuple[ServerReport, ...]], None],
         get_limit_reports: Callable[[], list[LimitReport]],
         on_limit_reports: Callable[[tuple[LimitReport, ...]], None],
-        on_crash_reports: Callable[[tuple[CrashReport, ...]], None],
         rng: random.Random,
     ) -> None:
         self.table = table
@@ -93,9 +84,9 @@
         self._boot = boot
         self._registry = registry
         self._get_status = get_status
-        self._get_crash_reports = get_crash_reports
+        self._crash_watch = crash_watch
+        self._crash_sync = CrashSync(crash_watch, clock.now, self._request)
         self._on_changes = on_changes
-        self._on_crash_reports = on_crash_reports
         self._on_server_reports = on_server_reports
         self._get_limit_reports = get_limit_reports
         self._on_limit_reports = on_limit_reports
@@ -153,7 +144,10 @@
             self.transport.write(datagram, (peer.host, self._instance_info.gossip_port))
 
     def answer_fetch(self, request: HttpRequest, responder: Responder) -> None:
-        """Answer a peer that fetches the changes after its own revision."""
+        """Answer a peer that fetches crashes, or the changes after its own revision."""
+        if request.target == CRASHES_PATH:
+            responder.finish(200, (), self._crash_sync.encode_all(self._clock.now()))
+            return
         _, _, value = request.target.partition(b"after=")
         after = parse_count(value, MAX_REVISION) or 0
         found: StoreEvents | StoreSnapshot | None = None
@@ -178,8 +172,7 @@
         now = self._clock.now()
         self.heard_at = now
         is_new = self.table.record_hello(hello, now)
-        if hello.losses:
-            self._on_crash_reports(hello.losses)
+        self._crash_sync.on_hello(hello, now)
         if hello.limits:
             self._on_limit_reports(hello.limits)
         old_revision = self._registry.revision
@@ -252,13 +245,14 @@
             can_read,
             self._registry.revision,
             self.table.choose_member_summaries(data_centre, now),
-            self._get_crash_reports(),
+            self._crash_watch.list_recent_reports(now),
             events,
             wants_reply,
             self._instance_info.cores,
             self.table.list_counts(now),
             # A packet has no room for both.
             self._select_limit_reports() if events is None else (),
+            self._crash_watch.table.count_losses(now),
         )
         self.transport.write(
             encode_hello(hello), (host, self._instance_info.gossip_port)
@@ -298,42 +292,28 @@
         if self.is_fetching or self._registry.revision >= revision:
             return
         self.is_fetching = True
-        pool = ConnectionPool(
-            self._reactor, self._clock.now, (host, self._instance_info.fetch_port), 1
-        )
-        target = FETCH_PATH % self._registry.revision
-        data = encode_request(b"GET", target, [(b"host", host.encode())])
 
-        def finish(result: HttpResponse | ConnectionFailure) -> None:
+        def finish(body: bytes | None) -> None:
             self.is_fetching = False
-            if timer.active():
-                timer.cancel()
-            pool.close()
-            self._on_fetched(result, host)
-
-        exchange = Exchange(
-            lambda now: data,
-            lambda response: True,
-            self._clock.now() + FETCH_TIMEOUT_S,
-            False,
-            finish,
-        )
-        timer = self._reactor.callLater(
-            FETCH_TIMEOUT_S, pool.cancel, exchange, ConnectionFailure.TIMED_OUT
-        )
-        pool.send(exchange)
+            self._on_fetched(body, host)
 
-    def _on_fetched(self, result: HttpResponse | ConnectionFailure, host: str) -> None:
-        if isinstance(result, ConnectionFailure) or result.status != 200:
+        self._request(host, FETCH_PATH % self._registry.revision, finish)
+
+    def _request(
+        self, host: str, target: bytes, on_body: Callable[[bytes | None], None]
+    ) -> None:
+        address = (host, self._instance_info.fetch_port)
+        fetch_from_peer(self._reactor, self._clock, address, target, on_body)
+
+    def _on_fetched(self, body: bytes | None, host: str) -> None:
+        if body is None:
             log.info(
                 "could not fetch changes from a peer; retrying after a later hello",
                 extra={"from": host},
             )
             return
         try:
-            found = msgspec.msgpack.decode(
-                result.body, type=StoreEvents | StoreSnapshot
-            )
+            found = msgspec.msgpack.decode(body, type=StoreEvents | StoreSnapshot)
         except DECODE_ERRORS as exc:
             log.warning(
                 "changes fetched from a peer are unreadable; ignoring them",
--- a/currantwharf/peers/tests/test_peer_task.py
+++ b/currantwharf/peers/tests/test_peer_task.py
@@ -4,6 +4,7 @@
 from twisted.internet.task import Clock
 
 from currantwharf.gateway.changes import StoreEvents, StoreSnapshot
+from currantwharf.gateway.crash_watch import CrashWatch
 from currantwharf.gateway.instance_info import InstanceInfo
 from currantwharf.gateway.limit_report import LimitReport
 from currantwharf.gateway.registry import Registry
@@ -16,7 +17,6 @@
     REMOTE_FETCH_DELAY_S,
     PeerTask,
 )
-from currantwharf.policy.crash_report import CrashReport
 from currantwharf.tests.gateway_builders import (
     config_change,
     make_chooser,
@@ -58,11 +58,12 @@
 class PeerTaskTests(unittest.TestCase):
     def setUp(self):
         self.network = FakeNetwork()
-        self.crash_reports = {}
+        self.crash_watches = {}
         self.server_reports = []
         self.limit_reports = {}
         self.received_limits = []
         self.fetches = []
+        self.crash_fetches = []
         self.tasks = {name: self.start(name) for name in ("i0", "i1", "i2", "i3")}
 
     def start(self, name):
@@ -78,15 +79,15 @@
             PeerTable(name, "a", random.Random(name)),
             Registry(chooser.directory, chooser),
             lambda: (True, True),
-            lambda: self.crash_reports.get(name, ()),
+            self.crash_watches.setdefault(name, CrashWatch()),
             lambda changes, source: None,
             lambda reports: self.server_reports.append((name, reports)),
             lambda: self.limit_reports.get(name, []),
             lambda reports: self.received_limits.append((name, reports)),
-            lambda reports: self.crash_reports.update({f"heard by {name}": reports}),
             random.Random(name),
         )
         task._fetch = lambda host, revision: self.fetch(name, host)
+        task._crash_sync._fetch = self.fetch_crashes
         task.start()
         return task
 
@@ -100,7 +101,19 @@
         request = HttpRequest(b"GET", target, (), b"", True)
         self.tasks[host].answer_fetch(request, responder)
         answer = type("Answer", (), {"status": 200, "body": answers[0]})()
-        self.tasks[name]._on_fetched(answer, host)
+        self.tasks[name]._on_fetched(answer.body, host)
+
+    def fetch_crashes(self, host, target, on_body):
+        """Answer a fetch of crashes, unless the host is cut off."""
+        self.crash_fetches.append(host)
+        if host in self.network.cut_hosts:
+            on_body(None)
+            return
+        answers = []
+        responder = Responder(lambda status, headers, body: answers.append(body))
+        request = HttpRequest(b"GET", target, (), b"", True)
+        self.tasks[host].answer_fetch(request, responder)
+        on_body(answers[0])
 
     def test_instances_find_each_other_from_one_seed(self):
         self.network.advance(0)
@@ -205,10 +218,51 @@
     def test_crash_reports_reach_other_instances(self):
         for _ in range(50):
             self.network.advance(0.1)
-        self.crash_reports["i1"] = (CrashReport("f", "s1", 0.1),)
+        self.record_crashes("i1", "f", 1)
         self.tasks["i1"].send_to_all()
-        self.network.advance(0.1)
-        self.assertEqual(self.crash_reports["heard by i3"], self.crash_reports["i1"])
+        self.network.advance(0.002)
+        now = self.network.seconds()
+        told, heard = (
+            self.crash_watches[name].list_recent_reports(now) for name in ("i1", "i3")
+        )
+        self.assertEqual(
+            [(report.key, report.boot) for report in heard], [("f", "s-f-0")]
+        )
+        self.assertAlmostEqual(heard[0].age_s, told[0].age_s, places=2)
+
+    def record_crashes(self, name, fingerprint, count):
+        for number in range(count):
+            self.crash_watches[name].table.record_loss(
+                fingerprint, f"s-{fingerprint}-{number}", self.network.seconds()
+            )
+
+    def test_restarted_instance_learns_of_every_request_that_crashes_servers(self):
+        """There are more of them than the newest crashes in a hello can tell."""
+        for _ in range(20):
+            self.network.advance(0.1)
+        for number in range(40):
+            self.record_crashes("i1", f"f{number}", 3)
+        for _ in range(30):
+            self.network.advance(0.1)
+        self.tasks["i9"] = self.start("i9")
+        for _ in range(20):
+            self.network.advance(0.1)
+        now = self.network.seconds()
+        for number in range(40):
+            self.assertTrue(self.crash_watches["i9"].is_held(f"f{number}", now))
+
+    def test_fetches_of_crashes_that_bring_nothing_become_rare(self):
+        for _ in range(20):
+            self.network.advance(0.1)
+        self.record_crashes("i1", "f", 3)
+        for name in ("i0", "i2", "i3"):
+            self.crash_watches[name].on_request_answered("f", self.network.seconds())
+        for _ in range(600):
+            self.network.advance(0.1)
+            for name in ("i0", "i2", "i3"):
+                now = self.network.seconds()
+                self.crash_watches[name].on_request_answered("f", now)
+        self.assertLess(len(self.crash_fetches), 3 * 10)
 
     def test_unreadable_datagram_is_ignored_and_logged(self):
         with self.assertLogs("currantwharf", "WARNING"):
--- a/currantwharf/policy/crash_table.py
+++ b/currantwharf/policy/crash_table.py
@@ -60,13 +60,22 @@
         if extract_fingerprint(key) in self._released:
             return 0
         if key not in self._losses and len(self._losses) >= MAX_RECORDS:
-            del self._losses[next(iter(self._losses))]
+            self._drop_record()
         losses = self._losses.setdefault(key, {})
         if boot in losses:
             return 0
         losses[boot] = Loss(boot, now)
         return len(losses)
 
+    def _drop_record(self) -> None:
+        """Drop the oldest request that is not held, or the oldest one if all are."""
+        not_held = (
+            key
+            for key, losses in self._losses.items()
+            if len(losses) < self._losses_before_hold
+        )
+        del self._losses[next(not_held, next(iter(self._losses)))]
+
     def record_answer(self, key: str) -> None:
         """Clear the losses of a request that was answered, unless it is held."""
         if len(self._losses.get(key, ())) < self._losses_before_hold:
@@ -117,8 +126,16 @@
         """Return the keys of all held requests, for the operators' status."""
         return [key for key in list(self._losses) if self.is_held(key, now)]
 
-    def list_recent_reports(self, now: float) -> tuple[CrashReport, ...]:
-        """Return the newest losses, as reports for other instances."""
+    def count_losses(self, now: float) -> int:
+        """Return the number of losses of all requests."""
+        return sum(
+            now - loss.lost_at < LOSS_TTL_S
+            for losses_by_boot in self._losses.values()
+            for loss in losses_by_boot.values()
+        )
+
+    def list_reports(self, now: float) -> tuple[CrashReport, ...]:
+        """Return all losses, the newest first, as reports for other instances."""
         losses = [
             (loss.lost_at, key, loss.boot)
             for key, losses_by_boot in self._losses.items()
@@ -126,7 +143,8 @@
             if now - loss.lost_at < LOSS_TTL_S
         ]
         losses.sort(reverse=True)
-        return tuple(
-            CrashReport(key, boot, now - lost_at)
-            for lost_at, key, boot in losses[:MAX_REPORTS_PER_HEARTBEAT]
-        )
+        return tuple(CrashReport(key, boot, now - at) for at, key, boot in losses)
+
+    def list_recent_reports(self, now: float) -> tuple[CrashReport, ...]:
+        """Return the newest losses, as reports for other instances."""
+        return self.list_reports(now)[:MAX_REPORTS_PER_HEARTBEAT]
