Send nothing more of a call whose request is held meanwhile

What callers saw: a call whose request had crashed three servers waited until its deadline, and parts that had waited for a server were still sent.

Cause: whether a request is held was checked when it arrived and when a repeat was to be sent. The first send of a part that had found no server is no repeat; and a refused repeat was tried again every 40 ms.

Change: the check precedes every send. What cannot be sent any more ends the call at once, as unknown if it may have run, and otherwise as not run with the long time after which to retry.

Evidence: test_part_that_waits_for_a_server_is_not_sent_once_the_request_is_held failed before, and the call of test_request_that_crashes_servers_is_not_sent_again did not end.

--- a/currantwharf/gateway/entry_point.py
+++ b/currantwharf/gateway/entry_point.py
@@ -9,6 +9,7 @@
 from currantwharf.gateway.gateway_request import GatewayRequest
 from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.route import Route
+from currantwharf.gateway.running_call import HELD_RETRY_AFTER_S
 from currantwharf.gateway.weighted_round_robin import WeightedRoundRobin
 from currantwharf.policy.coverage import Coverage
 from currantwharf.runtime.component_log import component_logger
@@ -28,9 +29,6 @@
 
 log = component_logger("entry")
 
-# Retry delay for callers whose request has crashed servers; long, to keep such a
-# request from coming back.
-HELD_RETRY_AFTER_S = 60.0
 REFUSED_AS_HELD = CallResult(
     CallOutcome.NOT_RUN,
     CallReason.HELD,
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -37,6 +37,9 @@
 RETRY_DELAY_S = 0.04  # until a part looks for an eligible server again
 MAX_SENDS_PER_PART = 6  # repeats after a rejection spend the repeat budget too
 MIN_HEDGE_MARGIN_S = 0.002  # by which a hedge is expected to beat the target
+# Retry delay for callers whose request has crashed servers; long, to keep such a
+# request from coming back.
+HELD_RETRY_AFTER_S = 60.0
 RETRY_AFTER_S = 0.25  # after which a refused caller may find an eligible server
 
 
@@ -211,6 +214,9 @@
             or part.sends >= MAX_SENDS_PER_PART
         ):
             return
+        if self._is_held(part, now):
+            part.retry_at = None
+            return
         entry = self._chooser.choose(part.service, self.route, part.tried_servers, now)
         if entry is None:
             part.repeat_refusal = RepeatRefusal.NO_SERVER
@@ -261,6 +267,8 @@
         for attempt in part.attempts.values():
             self._chooser.on_overdue(attempt.entry, part.hedge_at or now, now)
         part.hedge_at = None
+        if self._is_held(part, now):
+            return
         entry = self._chooser.choose(part.service, self.route, part.tried_servers, now)
         if entry is None:
             part.repeat_refusal = RepeatRefusal.NO_OTHER_SERVER
@@ -315,11 +323,17 @@
             for attempt in part.attempts
         )
 
+    def _is_held(self, part: PartCall, now: float) -> bool:
+        """Return whether nothing more is sent, as the request crashes servers."""
+        if not self._chooser.crash_watch.is_held(self.request.fingerprint, now):
+            return False
+        part.repeat_refusal = RepeatRefusal.CRASHES_SERVERS
+        self._last_failure_reason = CallReason.HELD
+        return True
+
     def _acquire_repeat(self, part: PartCall, now: float) -> bool:
         """Spend one repeat of the budget; return whether it was granted."""
-        part.repeat_refusal = self._chooser.acquire_repeat(
-            part.service, self.request.fingerprint, now
-        )
+        part.repeat_refusal = self._chooser.acquire_repeat(part.service, now)
         return part.repeat_refusal is None
 
     def _can_answer(self, now: float) -> bool:
@@ -360,7 +374,10 @@
             self._last_failure_reason,
             self._answer_rule.has_min_coverage(self._answered_parts),
         )
-        retry_after_s = RETRY_AFTER_S if outcome is CallOutcome.NOT_RUN else 0.0
+        retry_after_s = 0.0
+        if outcome is CallOutcome.NOT_RUN:
+            is_held = reason is CallReason.HELD
+            retry_after_s = HELD_RETRY_AFTER_S if is_held else RETRY_AFTER_S
         result = CallResult(
             outcome,
             reason,
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -217,12 +217,8 @@
         self._service_evidence(service).on_request(now)
         self._repeat_budget(service).add_sends(1, now)
 
-    def acquire_repeat(
-        self, service: str, fingerprint: str, now: float
-    ) -> RepeatRefusal | None:
+    def acquire_repeat(self, service: str, now: float) -> RepeatRefusal | None:
         """Spend one repeat of a service's budget, or return why it is refused."""
-        if self.crash_watch.is_held(fingerprint, now):
-            return RepeatRefusal.CRASHES_SERVERS
         return (
             None
             if self._repeat_budget(service).try_spend(now)
--- a/currantwharf/gateway/tests/test_running_call.py
+++ b/currantwharf/gateway/tests/test_running_call.py
@@ -276,3 +276,18 @@
         lost = ConnectionFailure.BROKEN
         actions = self.call.on_attempt_result(first["camphor-near"], lost, 0.01)
         self.assertEqual(self.attempts_by_server(actions), {})
+        result = self.finished_result(actions)
+        self.assertEqual(
+            (result.outcome, result.reason), (CallOutcome.UNKNOWN, CallReason.HELD)
+        )
+
+    def test_part_that_waits_for_a_server_is_not_sent_once_the_request_is_held(self):
+        """Its first send is no repeat, and it is held since it arrived."""
+        entries = [make_entry("a", "camphor"), make_entry("b", "longan", leaving=True)]
+        route = make_route(("camphor", "longan"), least_coverage=1.0)
+        self.start_call(route, ("camphor", "longan"), entries)
+        for server in ("x", "y", "z"):
+            self.chooser.crash_watch.table.record_loss("f", server, 0.01)
+        self.chooser.directory.put(make_entry("c", "longan"), 2)
+        actions = self.call.wake(0.05)
+        self.assertEqual(self.attempts_by_server(actions), {})
--- a/currantwharf/gateway/tests/test_server_choice.py
+++ b/currantwharf/gateway/tests/test_server_choice.py
@@ -94,10 +94,10 @@
         self.chooser.set_limits(limits)
         self.chooser.set_share(1.0)
         acquire = self.chooser.acquire_repeat
-        allowed = [acquire("camphor", "f", 0.0) for _ in range(8)].count(None)
+        allowed = [acquire("camphor", 0.0) for _ in range(8)].count(None)
         self.assertEqual(allowed, 3)
         self.chooser.set_limits(limits)
-        self.assertIs(acquire("camphor", "f", 1.0), RepeatRefusal.BUDGET_SPENT)
+        self.assertIs(acquire("camphor", 1.0), RepeatRefusal.BUDGET_SPENT)
 
     def test_reasons_for_ineligibility(self):
         leaving = make_entry("x", leaving=True)
@@ -177,10 +177,10 @@
         for _ in range(100):
             chooser.on_request("camphor", 0.0)
         repeats = 0
-        while chooser.acquire_repeat("camphor", "f", 0.0) is None:
+        while chooser.acquire_repeat("camphor", 0.0) is None:
             repeats += 1
         self.assertLessEqual(repeats, 0.2 * 100 + 0.1 * 40)
         self.assertGreater(repeats, 10)
         self.assertEqual(
-            chooser.acquire_repeat("camphor", "f", 0.0), RepeatRefusal.BUDGET_SPENT
+            chooser.acquire_repeat("camphor", 0.0), RepeatRefusal.BUDGET_SPENT
         )
