Do not run a query that its hub refuses as crashing servers

What callers saw: nothing reported; found by reading. Cause: a hub that does not take a query answers 503, and the instance that asked then runs it itself. That also held for a query that the hub knows to crash servers, while the instance that asked might not know of it yet.

Change: the hub marks such a refusal, and it goes to the caller as it is.

Evidence: test_query_that_crashes_servers_is_not_run_after_its_hub_refused_it and test_query_that_a_hub_refuses_as_crashing_servers_is_not_run_here play it.

--- a/currantwharf/gateway/relay.py
+++ b/currantwharf/gateway/relay.py
@@ -75,9 +75,11 @@
         encode: Callable[[float], bytes],
         request: GatewayRequest,
         on_answer: Callable[[HttpResponse | RelayFailure], None],
+        is_final: Callable[[HttpResponse], bool] = lambda answer: answer.status != 503,
     ) -> Callable[[], None]:
         """Send a query to a hub; return a function that cancels it.
 
+        An answer for which `is_final` is false leaves the query to this instance.
         This instance runs the query itself if the hub refused or never received it. It
         also does if the hub did not acknowledge it, but then the hub may have sent it
         to one server of each shard before it saw the connection close. A query that
@@ -104,7 +106,7 @@
                 }
                 log.warning("hub failed", extra=fields)
                 on_answer(failure)
-            elif result.status == 503:
+            elif not is_final(result):
                 on_answer(RelayFailure.NOT_TAKEN)
             else:
                 self._log_if_late(request, hub, result.status)
--- a/currantwharf/gateway/tests/test_relay.py
+++ b/currantwharf/gateway/tests/test_relay.py
@@ -34,9 +34,13 @@
         host = f"10.0.1.{name[1:]}"
         return Hello(name, "b", host, data_centre, serving, True, 1, cores=cores)
 
-    def send(self):
+    def send(self, **options):
         return self.relay.send(
-            "10.0.1.3", lambda now: b"query", make_request(), self.answers.append
+            "10.0.1.3",
+            lambda now: b"query",
+            make_request(),
+            self.answers.append,
+            **options,
         )
 
     def connect(self):
@@ -78,6 +82,11 @@
         self.connect().dataReceived(INTERIM + refusal)
         self.assertEqual(self.answers[0].status, 429)
 
+    def test_query_that_crashes_servers_is_not_run_after_its_hub_refused_it(self):
+        self.send(is_final=lambda answer: True)
+        self.connect().dataReceived(INTERIM + REFUSAL)
+        self.assertEqual(self.answers[0].status, 503)
+
     def test_unacknowledged_query_is_unconfirmed_and_the_hub_avoided(self):
         self.send()
         self.connect()
--- a/currantwharf/platform/caller_protocol.py
+++ b/currantwharf/platform/caller_protocol.py
@@ -47,6 +47,8 @@
 # A hub's decision on a query that limits stop; another status leaves the query to the
 # instance that asked.
 STOPPED_BY_LIMITS_STATUS = 429
+HELD_HEADERS = ((names.HELD, b"1"),)
+HUB_ONLY_HEADERS = (b"content-length", names.HELD)  # not passed on to the caller
 
 
 class CallerProtocol:
@@ -111,11 +113,18 @@
             )
             target_at -= self._overrun.margin_s() + self._estimate_transfer_s(route)
             decoded = replace(decoded, target_at=target_at)
-        self._run(decoded, route, responder)
+        self._run(decoded, route, responder, is_relayed=True)
 
-    def _run(self, request: GatewayRequest, route: Route, responder: Responder) -> None:
+    def _run(
+        self,
+        request: GatewayRequest,
+        route: Route,
+        responder: Responder,
+        is_relayed: bool = False,
+    ) -> None:
         def on_result(result: CallResult) -> None:
-            _write_result(result, route, responder)
+            is_held = is_relayed and result.reason is CallReason.HELD
+            _write_result(result, route, responder, HELD_HEADERS if is_held else ())
             if result.answers and not result.coverage.is_complete:
                 self._overrun.record(self._clock() - request.target_at)
 
@@ -148,12 +157,14 @@
             elif isinstance(answer, RelayFailure):
                 responder.finish(502, (), b"unknown: hub lost\n")
             else:
-                headers = tuple(h for h in answer.headers if h[0] != b"content-length")
+                headers = tuple(
+                    h for h in answer.headers if h[0] not in HUB_ONLY_HEADERS
+                )
                 responder.finish(
                     answer.status, select_end_to_end_headers(headers), answer.body
                 )
 
-        cancel = self._relay.send(hub, encode, request, on_answer)
+        cancel = self._relay.send(hub, encode, request, on_answer, _is_final)
         responder.on_disconnect(cancel)
 
     def _decode_request(
@@ -204,12 +215,26 @@
         return answer_bytes / self._link_bytes_per_s
 
 
-def _write_result(result: CallResult, route: Route, responder: Responder) -> None:
+def _is_final(answer: HttpResponse) -> bool:
+    """Return whether a hub's answer is for the caller.
+
+    A hub that does not run a query leaves it to the instance that asked, unless the
+    query crashes servers.
+    """
+    return answer.status != 503 or answer.get(names.HELD) is not None
+
+
+def _write_result(
+    result: CallResult,
+    route: Route,
+    responder: Responder,
+    headers: tuple[Header, ...],
+) -> None:
+    """Respond with a result; a result without an answer has `headers`."""
     if result.outcome is not CallOutcome.ANSWERED:
-        headers: tuple[Header, ...] = ()
         status = STATUS_BY_OUTCOME[result.outcome]
         if result.outcome is CallOutcome.NOT_RUN:
-            headers = ((names.RETRY_AFTER, b"%.3f" % result.retry_after_s),)
+            headers += ((names.RETRY_AFTER, b"%.3f" % result.retry_after_s),)
             if result.reason is CallReason.SERVER_LIMIT:
                 status = STOPPED_BY_LIMITS_STATUS
         body = f"{result.outcome}: {result.reason}\n".encode()
--- a/currantwharf/platform/names.py
+++ b/currantwharf/platform/names.py
@@ -15,6 +15,7 @@
 # Headers between instances.
 CONFIG_VERSION = b"x-currantwharf-config"  # version in force at the sender
 TARGET_LEFT_MS = b"x-currantwharf-target-ms"  # time until the route's latency target
+HELD = b"x-currantwharf-held"  # the query crashes servers, so nobody is to run it
 
 # Keys of the store.
 CONFIG_KEY = "op/config"
--- a/currantwharf/platform/tests/test_caller_protocol.py
+++ b/currantwharf/platform/tests/test_caller_protocol.py
@@ -8,6 +8,7 @@
     PROCESSING_RESERVE_S,
     RECENT_DEADLINES,
     CallerProtocol,
+    _is_final,
 )
 from currantwharf.policy.coverage import Coverage
 from currantwharf.tests.gateway_builders import make_answer, make_route
@@ -39,7 +40,7 @@
     def choose_hub(self, now):
         return self.host
 
-    def send(self, hub, encode, request, on_answer):
+    def send(self, hub, encode, request, on_answer, is_final):
         self.sent.append((hub, encode(100.0), on_answer))
         return lambda: self.sent.append("cancelled")
 
@@ -205,6 +206,14 @@
         self.relay.sent[0][2](RelayFailure.UNCONFIRMED)
         self.assertEqual(self.entry.runs[0][0].prior_sends, 1)
 
+    def test_query_that_a_hub_refuses_as_crashing_servers_is_not_run_here(self):
+        self.handle((b"x-request-id", b"r1"), relayed=True)
+        self.entry.runs[-1][1](REFUSED_AS_HELD)
+        refusal = self.responses[-1]
+        self.assertEqual(refusal.status, 503)
+        self.assertTrue(_is_final(refusal))
+        self.assertFalse(_is_final(HttpResponse(503, (), b"")))
+
     def test_hub_with_an_older_configuration_refuses_the_query(self):
         self.handle(
             (b"x-request-id", b"r1"), (b"x-currantwharf-config", b"8"), relayed=True
