Log how old an instance's view may be when it refuses a request

A report says that a request was refused for want of a route that had been added. The line of a refusal named the version in force, but not whether the instance was behind or when anything last confirmed that it was not. Now the registry knows when no change was missing, hellos tell it with its age, and the line has both revisions and that age.

--- a/currantwharf/gateway/entry_point.py
+++ b/currantwharf/gateway/entry_point.py
@@ -44,7 +44,8 @@
     `is_config_current` returns whether the configuration can be relied on to be the
     newest, so that a route that is missing from it does not exist. `is_relearning`
     returns whether the process has started or was paused, and has received nothing
-    since that confirms what it knows.
+    since that confirms what it knows. `describe_registry` returns what to log of the
+    registry's age with a refusal.
     """
 
     def __init__(
@@ -54,12 +55,14 @@
         crash_watch: CrashWatch,
         is_config_current: Callable[[], bool],
         is_relearning: Callable[[], bool],
+        describe_registry: Callable[[], dict[str, object]],
     ) -> None:
         self.registry = registry
         self._calls = calls
         self._crash_watch = crash_watch
         self._is_config_current = is_config_current
         self._is_relearning = is_relearning
+        self._describe_registry = describe_registry
         self._round_robins: dict[str, tuple[Route, WeightedRoundRobin]] = {}
 
     @property
@@ -78,6 +81,7 @@
                 "config_version": self.config_version,
                 "host": host.decode("latin-1"),
                 "path": path.decode("latin-1"),
+                **self._describe_registry(),
             }
             log.info("refused", extra=fields)
         return result
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable
 from enum import StrEnum
+from math import isfinite
 from typing import Any
 
 from currantwharf.gateway.backend_wire import BackendWire
@@ -160,6 +161,7 @@
             self.chooser.crash_watch,
             self._is_config_current,
             self._is_relearning,
+            self._describe_registry,
         )
         self._sweep = RepeatingTask(reactor, "sweep", self._on_sweep)
         self._lag_watch = LagWatch()
@@ -338,6 +340,15 @@
             self._clock.now()
         )
 
+    def _describe_registry(self) -> dict[str, object]:
+        """Return how old this instance's view may be, for the log."""
+        age_s = self._clock.now() - self.registry.confirmed_at
+        return {
+            "revision": self.registry.revision,
+            "newest": self.peer_table.newest_revision(),
+            "confirmed_age_s": round(age_s, 2) if isfinite(age_s) else None,
+        }
+
     def _on_store_changes(
         self, changes: list[RevisedChange], source: ChangeSource
     ) -> None:
--- a/currantwharf/gateway/registry.py
+++ b/currantwharf/gateway/registry.py
@@ -22,6 +22,7 @@
 # After the store returns from an outage, a removed server may register again for this
 # long: its registration may have lapsed only because the store was unavailable.
 STORE_RETURN_WINDOW_S = 3.0
+NEVER = float("-inf")  # the time of what has not happened
 
 
 class Registry:
@@ -36,6 +37,7 @@
 
     A first read may be seconds old. `is_confirmed` is true once the store, or a peer
     that serves, has shown that no change is missing; `on_confirmed` is called then.
+    `confirmed_at` is the latest time at which no change was missing, as far as known.
     `on_restarted` is called with the id of a server that has started again under it.
     """
 
@@ -46,6 +48,7 @@
         self.revision = 0
         self.store_returned_at = -STORE_RETURN_WINDOW_S
         self.is_confirmed = False
+        self.confirmed_at = NEVER
         self.on_confirmed: Callable[[], None] = lambda: None
         self.on_restarted: Callable[[str], None] = lambda server: None
         self._chooser = chooser
@@ -64,12 +67,14 @@
         """Return whether the configuration names a service as a shard."""
         return service in self._shards
 
-    def confirm(self, newest_revision: int) -> None:
-        """Record that the newest revision was `newest_revision` a moment ago."""
-        if self.is_confirmed or not self.has_config or newest_revision > self.revision:
+    def confirm(self, newest_revision: int, at: float) -> None:
+        """Record that the newest revision was `newest_revision` at the time `at`."""
+        if not self.has_config or newest_revision > self.revision:
             return
-        self.is_confirmed = True
-        self.on_confirmed()
+        self.confirmed_at = max(self.confirmed_at, at)
+        if not self.is_confirmed:
+            self.is_confirmed = True
+            self.on_confirmed()
 
     def apply_change(self, change: RevisedChange, now: float) -> bool:
         """Apply one change; return whether it changed the view."""
--- a/currantwharf/gateway/registry_task.py
+++ b/currantwharf/gateway/registry_task.py
@@ -151,7 +151,7 @@
         )
         self._on_changes(changes, source)
         if is_current:
-            self._registry.confirm(result.revision)
+            self._registry.confirm(result.revision, self._clock.now())
         return True
 
     async def _watch(self, wait_s: float) -> bool:
@@ -171,7 +171,7 @@
         changes = self._registry.apply_events(result, self._clock.now())
         if changes:
             self._on_changes(changes, ChangeSource.WATCH)
-        self._registry.confirm(result.revision)
+        self._registry.confirm(result.revision, self._clock.now())
         if result.changes:
             await self._wait(WATCH_INTERVAL_S)
         elif not wait_s:
@@ -222,6 +222,7 @@
                 self._back_off(self._clock.now())
                 continue
             changes = self._registry.apply_events(result, self._clock.now())
+            self._registry.confirm(result.revision, self._clock.now())
             if changes:
                 log.info("spot check found changes", extra={"count": len(changes)})
                 self._on_changes(changes, ChangeSource.SPOT_CHECK)
--- a/currantwharf/gateway/tests/test_registry_task.py
+++ b/currantwharf/gateway/tests/test_registry_task.py
@@ -120,9 +120,9 @@
 
     def test_a_peer_that_serves_confirms_a_stale_read(self):
         self.answer_first_read()
-        self.registry.confirm(11)
+        self.registry.confirm(11, 0.0)
         self.assertFalse(self.registry.is_confirmed)
-        self.registry.confirm(10)
+        self.registry.confirm(10, 0.0)
         self.assertTrue(self.registry.is_confirmed)
 
     def test_a_current_read_needs_no_confirmation(self):
--- a/currantwharf/peers/hello.py
+++ b/currantwharf/peers/hello.py
@@ -42,7 +42,8 @@
     `members` contains some of the instances that the sender knows, `losses` the newest
     losses of backend servers, and `counts` the number of instances in each data centre,
     the sender's own first. `limits` tells what some servers have said of their limits,
-    and `loss_count` how many losses the sender knows.
+    and `loss_count` how many losses the sender knows. `confirmed_age_s` is how long ago
+    no change was missing at the sender, None if that is unknown.
     """
 
     name: str
@@ -60,6 +61,7 @@
     counts: tuple[InstanceCount, ...] = ()
     limits: tuple[LimitReport, ...] = ()
     loss_count: int = 0
+    confirmed_age_s: float | None = None
 
 
 _decoder = msgspec.msgpack.Decoder(Hello)
--- a/currantwharf/peers/peer_task.py
+++ b/currantwharf/peers/peer_task.py
@@ -14,7 +14,7 @@
 from currantwharf.gateway.crash_watch import CrashWatch
 from currantwharf.gateway.instance_info import InstanceInfo
 from currantwharf.gateway.limit_report import LimitReport
-from currantwharf.gateway.registry import Registry
+from currantwharf.gateway.registry import NEVER, Registry
 from currantwharf.gateway.server_report import ServerReport
 from currantwharf.http1 import HttpRequest, Responder, parse_count
 from currantwharf.peers.crash_sync import CRASHES_PATH, CrashSync
@@ -38,6 +38,9 @@
 REMOTE_FETCH_DELAY_S = 0.7  # the local reader delivers most changes before this
 # If the store has failed any instance, the local reader may receive no changes at all.
 REMOTE_FETCH_DELAY_ON_STORE_FAILURE_S = 0.1
+# Assumed age of a hello at its arrival. It exceeds the usual delay, so that a
+# confirmation does not become younger as it is passed on.
+HELLO_DELAY_S = 0.1
 MAX_REVISION = 2**63 - 1
 FETCH_PATH = b"/changes?after=%d"
 LOCAL_FANOUT = 2  # recipients of a change announcement in this data centre
@@ -178,8 +181,11 @@
         old_revision = self._registry.revision
         if hello.events is not None and hello.events.after <= old_revision:
             self._apply(hello.events, ChangeSource.HELLO)
-        if hello.is_serving:
-            self._registry.confirm(hello.revision)
+        if hello.confirmed_age_s is not None:
+            confirmed_at = now - max(0.0, hello.confirmed_age_s) - HELLO_DELAY_S
+            self._registry.confirm(hello.revision, confirmed_at)
+        elif hello.is_serving:
+            self._registry.confirm(hello.revision, NEVER)
         if hello.revision > self._registry.revision:
             self._schedule_fetch(hello)
         if is_new or hello.wants_reply or hello.revision < old_revision:
@@ -253,11 +259,17 @@
             # A packet has no room for both.
             self._select_limit_reports() if events is None else (),
             self._crash_watch.table.count_losses(now),
+            self._get_confirmed_age_s(now),
         )
         self.transport.write(
             encode_hello(hello), (host, self._instance_info.gossip_port)
         )
 
+    def _get_confirmed_age_s(self, now: float) -> float | None:
+        if not self._registry.is_confirmed or self._registry.confirmed_at == NEVER:
+            return None
+        return round(now - self._registry.confirmed_at, 2)
+
     def _select_inline_events(self, known_revision: int) -> StoreEvents | None:
         if not 0 < known_revision < self._registry.revision:
             return None
--- a/currantwharf/peers/tests/test_peer_task.py
+++ b/currantwharf/peers/tests/test_peer_task.py
@@ -7,7 +7,7 @@
 from currantwharf.gateway.crash_watch import CrashWatch
 from currantwharf.gateway.instance_info import InstanceInfo
 from currantwharf.gateway.limit_report import LimitReport
-from currantwharf.gateway.registry import Registry
+from currantwharf.gateway.registry import NEVER, Registry
 from currantwharf.gateway.server_report import ServerReport
 from currantwharf.http1 import HttpRequest, Responder
 from currantwharf.peers.hello import Hello, encode_hello
@@ -155,8 +155,29 @@
         self.receive_hello("i2", 10, True)
         self.assertTrue(registry.is_confirmed)
 
-    def receive_hello(self, name, revision, is_serving):
-        hello = Hello("i1", "boot", "i1", "a", is_serving, True, revision)
+    def test_the_age_of_a_confirmation_is_told_with_hellos(self):
+        for _ in range(50):
+            self.network.advance(0.1)
+        for task in self.tasks.values():
+            snapshot = StoreSnapshot((config_change(1, 9),), 10)
+            task._registry.apply_snapshot(snapshot, 0.0)
+        confirmed_at = self.network.seconds()
+        self.tasks["i2"]._registry.confirm(10, confirmed_at)
+        for _ in range(40):
+            self.network.advance(0.1)
+        for task in self.tasks.values():
+            at = task._registry.confirmed_at
+            self.assertLess(at, confirmed_at + 0.01)
+            self.assertGreater(at, confirmed_at - 0.5)
+
+    def test_an_instance_that_is_behind_is_not_confirmed_by_a_newer_peer(self):
+        registry = self.tasks["i2"]._registry
+        registry.apply_snapshot(StoreSnapshot((config_change(1, 9),), 10), 0.0)
+        self.receive_hello("i2", 11, True, confirmed_age_s=0.1)
+        self.assertEqual(registry.confirmed_at, NEVER)
+
+    def receive_hello(self, name, revision, is_serving, **fields):
+        hello = Hello("i1", "boot", "i1", "a", is_serving, True, revision, **fields)
         self.tasks[name].datagramReceived(encode_hello(hello), ("i1", GOSSIP_PORT))
 
     def test_reports_on_servers_reach_the_instances_that_call_them(self):
