Deny a route only while the configuration is known to be the newest

What callers saw: a request was refused as only an older version allows, longer after the acknowledgement of the newer one than it may take.

Cause: 404 was given if the store had answered its last call, or if any peer had been heard in the last three seconds. An instance whose watches are deaf, or whose reader is cut off, has both and may be behind.

Change: 404 needs a confirmation no older than three quarters of the time within which a configuration must be in force, by the store or passed on in hellos. Otherwise 503 with Retry-After, and the store is polled at once, at a bounded rate.

Evidence: test_route_that_may_have_been_added_is_not_denied failed before.

--- a/currantwharf/gateway/entry_point.py
+++ b/currantwharf/gateway/entry_point.py
@@ -41,8 +41,8 @@
 class EntryPoint:
     """Route each request and run it.
 
-    `is_config_current` returns whether the configuration can be relied on to be the
-    newest, so that a route that is missing from it does not exist. `is_relearning`
+    `is_config_current` returns whether a route that is missing from the configuration
+    does not exist. `is_relearning`
     returns whether the process has started or was paused, and has received nothing
     since that confirms what it knows. `describe_registry` returns what to log of the
     registry's age with a refusal.
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -48,6 +48,9 @@
 # the store, so that another one takes over as reader.
 STORE_FAILURE_NOTICES = 4
 FLEET_DISCOVERY_S = 6.0  # time after the start to discover a fleet of hundreds
+# Part of the time within which a new configuration must be in force. The rest is for
+# the way from the store and for confirmations that were late.
+MAX_CONFIRMED_AGE_RATIO = 0.75
 # Longest time after the start for which a configuration that may be outdated, because
 # neither the store nor a peer has confirmed it, is not used.
 MAX_UNCONFIRMED_S = 1.5
@@ -332,13 +335,17 @@
         )
 
     def _is_config_current(self) -> bool:
-        """Return whether the known configuration can be relied on to be the newest.
+        """Return whether a route that is not known does not exist.
 
-        That needs an answering store or recent contact with a peer.
+        It may have been added since the configuration was confirmed to be the newest,
+        but then less time has passed than a new configuration may take to be in force.
+        Otherwise the store is polled, so that a caller who tries again gets an answer.
         """
-        return self.registry_task.is_store_up or self.peer_table.has_recent_contact(
-            self._clock.now()
-        )
+        age_s = self._clock.now() - self.registry.confirmed_at
+        if age_s <= self._limits.config_apply_s * MAX_CONFIRMED_AGE_RATIO:
+            return True
+        self.registry_task.request_check()
+        return False
 
     def _describe_registry(self) -> dict[str, object]:
         """Return how old this instance's view may be, for the log."""
--- a/currantwharf/gateway/registry_task.py
+++ b/currantwharf/gateway/registry_task.py
@@ -28,6 +28,9 @@
 ALERT_SPOT_CHECK_INTERVAL_S = 0.25
 # Random draws that each instance makes per interval to decide whether it checks.
 DRAWS_PER_SPOT_CHECK = 3
+MIN_CHECK_INTERVAL_S = 0.5  # of an instance's requested checks
+# A hundredth and less of the reads that the store allows.
+MAX_REQUESTED_CHECKS_PER_S = 20.0
 MIN_RETRY_DELAY_S = 0.1  # first delay of the exponential backoff after a failure
 MAX_RETRY_DELAY_S = 0.8  # keeps the first read after an outage well within a second
 
@@ -80,6 +83,7 @@
         self._may_be_stale = True
         self._is_watching = False
         self._lagging_since: float | None = None
+        self._next_requested_check_at = -1e9
 
     def start(self) -> None:
         """Start the reading loop and the spot checks."""
@@ -214,18 +218,37 @@
                 probability *= SPOT_CHECK_INTERVAL_S / ALERT_SPOT_CHECK_INTERVAL_S
             if self._rng.random() > probability:
                 continue
-            if self._is_watching or not self._registry.has_config:
-                continue
-            result = await self._store.watch(self._registry.revision, 0.0)
-            if not isinstance(result, StoreEvents):
-                log.info("spot check failed", extra={"why": result})
-                self._back_off(self._clock.now())
-                continue
-            changes = self._registry.apply_events(result, self._clock.now())
-            self._registry.confirm(result.revision, self._clock.now())
-            if changes:
-                log.info("spot check found changes", extra={"count": len(changes)})
-                self._on_changes(changes, ChangeSource.SPOT_CHECK)
+            if not self._is_watching and self._registry.has_config:
+                await self._check()
+
+    def request_check(self) -> None:
+        """Poll the store now, unless that was done a moment ago.
+
+        The polls of the whole fleet are bounded by `MAX_REQUESTED_CHECKS_PER_S`.
+        """
+        now = self._clock.now()
+        if now < self._next_requested_check_at:
+            return
+        interval_s = self._get_fleet_size() / MAX_REQUESTED_CHECKS_PER_S
+        self._next_requested_check_at = now + max(MIN_CHECK_INTERVAL_S, interval_s)
+        ensureDeferred(self._check()).addErrback(
+            lambda failure: log.error(
+                "requested check failed", extra={"why": failure.getErrorMessage()}
+            )
+        )
+
+    async def _check(self) -> None:
+        """Poll the store for changes that the watches have missed."""
+        result = await self._store.watch(self._registry.revision, 0.0)
+        if not isinstance(result, StoreEvents):
+            log.info("spot check failed", extra={"why": result})
+            self._back_off(self._clock.now())
+            return
+        changes = self._registry.apply_events(result, self._clock.now())
+        self._registry.confirm(result.revision, self._clock.now())
+        if changes:
+            log.info("spot check found changes", extra={"count": len(changes)})
+            self._on_changes(changes, ChangeSource.SPOT_CHECK)
 
     def _back_off(self, now: float) -> None:
         """Leave the reading to another instance for `READER_BACKOFF_S` seconds."""
--- a/currantwharf/gateway/tests/test_gateway.py
+++ b/currantwharf/gateway/tests/test_gateway.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from dataclasses import replace
 
 from twisted.internet.testing import MemoryReactorClock
 
@@ -113,6 +114,39 @@
         self.assertTrue(self.gateway.is_ready)
         self.assertIsInstance(self.find_route(), Route)
 
+    def pass_time(self, seconds):
+        """Advance in steps that do not look like a pause of the process."""
+        for _ in range(round(seconds * 10)):
+            self.reactor.advance(0.1)
+
+    def find_missing_route(self):
+        return self.gateway.entry_point.find_route(b"a.example", b"/new/x", "r1")
+
+    def test_route_that_may_have_been_added_is_not_denied(self):
+        """All watches are deaf; peers are heard and know nothing newer."""
+        self.read_config()
+        self.store.answer("watch 10", StoreEvents((), 10, 10))
+        self.assertIs(self.find_missing_route(), Refusal.NO_ROUTE)
+        self.gateway.registry_task._is_reader = lambda: False
+        self.pass_time(GatewayLimits().config_apply_s)
+        self.receive_hellos("x")
+        self.store.calls.clear()
+        self.assertIs(self.find_missing_route(), Refusal.ROUTE_UNSURE)
+        added = replace(make_route(), prefix=b"/new/")
+        change = config_change(4, 11, (make_route(), added))
+        self.store.answer("watch 10", StoreEvents((change,), 10, 11))
+        self.assertIs(self.find_missing_route(), added)
+
+    def test_checks_for_missing_routes_are_bounded(self):
+        self.read_config()
+        self.store.answer("watch 10", StoreEvents((), 10, 10))
+        self.gateway.registry_task._is_reader = lambda: False
+        self.pass_time(30.0)
+        self.store.calls.clear()
+        for _ in range(200):
+            self.find_missing_route()
+        self.assertEqual(len(self.store.calls), 1)
+
     def test_gateway_serves_unconfirmed_if_nobody_answers(self):
         self.read_config()
         self.gateway._on_sweep()
--- a/currantwharf/platform/platform_settings.py
+++ b/currantwharf/platform/platform_settings.py
@@ -81,5 +81,6 @@
             bounds.budget_slack,
             bounds.retry_window_s,
             grace_s=bounds.grace_s,
+            config_apply_s=bounds.config_apply_ms / 1000,
         ),
     )
--- a/currantwharf/platform/settings_file.py
+++ b/currantwharf/platform/settings_file.py
@@ -18,6 +18,7 @@
     retry_window_s: float = 10.0
     budget_slack: float = 0.0
     grace_s: float = 6.0
+    config_apply_ms: float = 4_000.0
 
 
 class LimitsSection(msgspec.Struct, rename="kebab"):
