--- a/currantwharf/gateway/changes.py
+++ b/currantwharf/gateway/changes.py
@@ -13,15 +13,24 @@
 
 
 class StoreSnapshot(msgspec.Struct, frozen=True, tag="snapshot"):
-    """All published entries, and the revision from which to watch for changes."""
+    """All published entries, and the revision from which to watch for changes.
+
+    `era` counts how often the store was restored from an older copy, which gives
+    revisions out again; 0 if unknown.
+    """
 
     changes: tuple[RevisedChange, ...]
     revision: int
+    era: int = 0
 
 
 class StoreEvents(msgspec.Struct, frozen=True, tag="events"):
-    """The changes after revision `after`, up to and including `revision`."""
+    """The changes after revision `after`, up to and including `revision`.
+
+    All of them are revisions of `era`, which is 0 if unknown.
+    """
 
     changes: tuple[RevisedChange, ...]
     after: int
     revision: int
+    era: int = 0
--- a/currantwharf/gateway/registry_task.py
+++ b/currantwharf/gateway/registry_task.py
@@ -151,7 +151,11 @@
         source = ChangeSource.READ if is_current else ChangeSource.STALE_READ
         log.info(
             "read the whole store",
-            extra={"revision": result.revision, "source": source.value},
+            extra={
+                "revision": result.revision,
+                "era": result.era,
+                "source": source.value,
+            },
         )
         self._on_changes(changes, source)
         if is_current:
--- a/currantwharf/platform/names.py
+++ b/currantwharf/platform/names.py
@@ -8,6 +8,7 @@
 NOT_RUN = b"x-not-executed"
 WARM_UP_MS = b"x-warmup-ms"
 SERVER_LIMIT = b"server-limit"  # requests per second from all instances together
+STORE_ERA = b"store-era"  # rises each time the store is restored from an older copy
 PART_SIGNATURES = b"x-part-stamps"
 MISSING_PARTS = b"x-missing-parts"
 RETRY_AFTER = b"retry-after"
--- a/currantwharf/platform/store_client.py
+++ b/currantwharf/platform/store_client.py
@@ -16,10 +16,11 @@
     Exchange,
     HttpResponse,
     encode_request,
+    parse_count,
 )
 from currantwharf.platform.address import Address
 from currantwharf.platform.decode_store import decode_item
-from currantwharf.platform.names import RANGE_PATH, WATCH_PATH
+from currantwharf.platform.names import RANGE_PATH, STORE_ERA, WATCH_PATH
 from currantwharf.platform.store_documents import (
     ItemDocument,
     RangeDocument,
@@ -31,6 +32,7 @@
 READ_TIMEOUT_S = 2.0  # a slow store takes 60 times its usual 4 ms
 WATCH_MARGIN_S = 2.0  # time beyond a watch's wait before it fails as timed out
 MAX_CONNECTIONS = 3  # one watch and two reads
+MAX_ERA = 2**31
 
 FAILURE_BY_STATUS = {
     410: StoreFailure.HISTORY_LOST,
@@ -72,39 +74,47 @@
     async def _read_all(self, may_be_stale: bool) -> StoreSnapshot | StoreFailure:
         changes: list[RevisedChange] = []
         revision: int | None = None
+        first_era = 0
         last_key = ""
         while True:
             query: dict[str, Any] = {"prefix": "", "allow-stale": int(may_be_stale)}
             if last_key:
                 query["after"] = last_key
-            page = await self._call(RANGE_PATH, query, READ_TIMEOUT_S, RangeDocument)
-            if isinstance(page, StoreFailure):
-                return page
+            answer = await self._call(RANGE_PATH, query, READ_TIMEOUT_S, RangeDocument)
+            if isinstance(answer, StoreFailure):
+                return answer
+            page, era = answer
             changes.extend(_decode_items(page.items))
             # The pages are of different revisions. A watch from the lowest of them
             # delivers the changes that were made between the reads.
             is_first = revision is None
+            if is_first:
+                first_era = era
+            elif era != first_era:
+                # The store was restored between two pages.
+                return StoreFailure.HISTORY_LOST
             revision = (
                 page.store_revision if is_first else min(revision, page.store_revision)
             )
             if not page.truncated or not page.items:
-                return StoreSnapshot(tuple(changes), revision)
+                return StoreSnapshot(tuple(changes), revision, era)
             last_key = page.items[-1].key
 
     async def _watch(self, after: int, wait_s: float) -> StoreEvents | StoreFailure:
         query = {"prefix": "", "after": after, "wait-ms": int(wait_s * 1000)}
         timeout_s = wait_s + WATCH_MARGIN_S
-        document = await self._call(WATCH_PATH, query, timeout_s, WatchDocument)
-        if isinstance(document, StoreFailure):
-            return document
+        answer = await self._call(WATCH_PATH, query, timeout_s, WatchDocument)
+        if isinstance(answer, StoreFailure):
+            return answer
+        document, era = answer
         return StoreEvents(
-            tuple(_decode_items(document.events)), after, document.store_revision
+            tuple(_decode_items(document.events)), after, document.store_revision, era
         )
 
     async def _call(
         self, path: str, query: dict[str, Any], timeout_s: float, document_type: type
     ) -> Any:
-        """Return the decoded document of one GET request, or a failure."""
+        """Return the decoded document of one GET request and its era, or a failure."""
         target = f"{path}?{urlencode(query)}".encode()
         response = await self._get(target, timeout_s)
         if isinstance(response, ConnectionFailure):
@@ -113,13 +123,14 @@
         if response.status != 200:
             return FAILURE_BY_STATUS.get(response.status, StoreFailure.UNAVAILABLE)
         try:
-            return msgspec.json.decode(response.body, type=document_type)
+            document: Any = msgspec.json.decode(response.body, type=document_type)
         except DECODE_ERRORS as exc:
             log.warning(
                 "response of the store cannot be decoded; treating it as a failure",
                 extra={"path": path, "why": str(exc)},
             )
             return StoreFailure.UNREADABLE
+        return document, parse_count(response.get(STORE_ERA), MAX_ERA) or 0
 
     def _get(
         self, target: bytes, timeout_s: float
