Space out whole reads of the store that bring no watch back

What callers saw: nothing.

Cause: a watch that fails for want of history is followed by a whole read, and that by a watch. If the read does not lead to a revision from which the store can be watched, the two follow each other without a pause.

Change: the first read follows at once, as before; each further one without a watch that works in between waits, up to 3 s.

Evidence: test_whole_reads_that_bring_no_watch_back_are_spaced_out failed before.

--- a/currantwharf/gateway/registry_task.py
+++ b/currantwharf/gateway/registry_task.py
@@ -32,6 +32,8 @@
 # A hundredth and less of the reads that the store allows.
 MAX_REQUESTED_CHECKS_PER_S = 20.0
 MIN_RETRY_DELAY_S = 0.1  # first delay of the exponential backoff after a failure
+MAX_RETRY_DOUBLINGS = 8
+MAX_REREAD_DELAY_S = 3.0  # between whole reads after which a watch fails alike
 MAX_RETRY_DELAY_S = 0.8  # keeps the first read after an outage well within a second
 
 log = component_logger("registry")
@@ -79,6 +81,7 @@
         self._watched_after = 0
         self._rng = rng
         self._failures = 0
+        self._reads_without_watch = 0
         self._backoff_until = -1e9
         self._may_be_stale = True
         self._is_watching = False
@@ -138,7 +141,16 @@
                 await self._wait(READER_CHECK_INTERVAL_S)
 
     async def _read_all(self) -> bool:
-        """Read a snapshot; return whether no snapshot is needed any more."""
+        """Read a snapshot; return whether no snapshot is needed any more.
+
+        A read that does not bring a watch back to work is repeated at growing
+        intervals.
+        """
+        if self._reads_without_watch:
+            doublings = min(self._reads_without_watch - 1, MAX_RETRY_DOUBLINGS)
+            delay_s = min(MIN_RETRY_DELAY_S * 2**doublings, MAX_REREAD_DELAY_S)
+            await self._wait(delay_s * self._rng.uniform(0.5, 1.0))
+        self._reads_without_watch += not self._may_be_stale
         result = await self._store.read_all(self._may_be_stale)
         if isinstance(result, StoreFailure):
             await self._on_store_failure(result)
@@ -175,6 +187,7 @@
             await self._on_store_failure(result)
             return True
         assert isinstance(result, StoreEvents)
+        self._reads_without_watch = 0
         self._on_store_answer()
         changes = self._registry.apply_events(result, self._clock.now())
         if changes:
@@ -203,7 +216,7 @@
             log.warning("the store does not answer", extra={"why": failure.value})
         self._back_off(self._clock.now())
         wait_s = min(MIN_RETRY_DELAY_S * 2**self._failures, MAX_RETRY_DELAY_S)
-        self._failures = min(self._failures + 1, 8)
+        self._failures = min(self._failures + 1, MAX_RETRY_DOUBLINGS)
         await self._wait(wait_s * self._rng.uniform(0.5, 1.0))
 
     async def _run_spot_checks(self) -> None:
--- a/currantwharf/gateway/tests/test_registry_task.py
+++ b/currantwharf/gateway/tests/test_registry_task.py
@@ -145,6 +145,20 @@
         self.store.answer("watch 10", StoreFailure.HISTORY_LOST)
         self.assertEqual(self.store.calls[0][0], "read")
 
+    def test_whole_reads_that_bring_no_watch_back_are_spaced_out(self):
+        """The store has lost the history since the revision that this one knows."""
+        self.answer_first_read()
+        reads = 0
+        for _ in range(100):
+            if self.store.calls and self.store.calls[0][0] == "read":
+                reads += 1
+                self.store.answer("read", StoreSnapshot((config_change(3, 5),), 9))
+            if self.store.calls:
+                self.store.answer("watch 10", StoreFailure.HISTORY_LOST)
+            self.clock.advance(0.1)
+        self.assertLess(reads, 12)
+        self.assertGreater(reads, 3)
+
     def test_failures_are_retried_soon_and_keep_the_registry(self):
         self.answer_first_read()
         for _ in range(5):
