Follow the era of a store that is restored from an older copy

Cause: a change is applied if its revision is higher than the one that an instance knows. A restored store gives revisions out again, so the changes after its return count as known, and a whole read brings nothing either. An instance that did go back would be told the old view by its peers. The class of fault is an order of events that is only valid within one life of their source, without a name for that life.

Change: a position in the store is its era and a revision. Hellos and fetches name the era; earlier builds, which name none, are heard until a restore is seen. A configuration is still replaced by a higher version only. A read that shows that the revision went back within an era replaces what came from a stale first read.

Evidence: test_change_after_the_store_was_restored_is_in_force failed before, on sockets; the tests of peers play an instance that alone has seen the restore, one that was cut off through it, two restores in a row, and an earlier build.

--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -34,6 +34,7 @@
 from currantwharf.gateway.server_report import ServerReport
 from currantwharf.gateway.shutdown import Shutdown
 from currantwharf.gateway.store_change import ServerRemoved
+from currantwharf.gateway.store_position import StorePosition
 from currantwharf.http1 import CallerConnection, RequestLimits
 from currantwharf.peers.peer_table import PeerTable
 from currantwharf.peers.peer_task import PeerTask
@@ -114,6 +115,7 @@
         self.registry = Registry(directory, self.chooser)
         self.registry.on_confirmed = self._start_serving
         self.registry.on_restarted = self._forget_server
+        self.registry.on_restored = self._report_restore
         self.pools = ServerPools(
             reactor, clock, self.chooser, self._get_max_connections
         )
@@ -236,9 +238,9 @@
             self.peers.announce_change()
         for server in self.registry.expire(now):
             self._forget_server(server)
-        newest_revision = self.peer_table.newest_revision()
-        self.registry_task.check_watch_lag(newest_revision)
-        self._report_lag(newest_revision, now)
+        newest = self.peer_table.newest_position()
+        self.registry_task.check_watch_lag(newest)
+        self._report_lag(newest, now)
         self._update_shares(now)
         self.calls.sweep(now)
         self.pools.sweep(now)
@@ -249,14 +251,16 @@
             # The last answers may still be in the write buffers.
             self._reactor.callLater(FINAL_WRITE_DELAY_S, self._on_stopped)
 
-    def _report_lag(self, newest_revision: int, now: float) -> None:
-        revision = self.registry.revision
-        lag_s = self._lag_watch.observe(revision, newest_revision, now)
+    def _report_lag(self, newest: StorePosition, now: float) -> None:
+        position = self.registry.position
+        lag_s = self._lag_watch.observe(position, newest, now)
         if lag_s:
             fields = {
                 "seconds": round(lag_s, 2),
-                "revision": revision,
-                "newest": newest_revision,
+                "revision": position.revision,
+                "newest": newest.revision,
+                "era": position.era,
+                "newest_era": newest.era,
                 "version": self.entry_point.config_version,
                 "is_fetching": self.peers.is_fetching,
                 "can_read": self.registry_task.can_read,
@@ -264,6 +268,15 @@
             log.warning("behind other instances", extra=fields)
             self.metrics.count_event("lags")
 
+    def _report_restore(self, position: StorePosition) -> None:
+        fields = {
+            "era": self.registry.era,
+            "known_era": position.era,
+            "known_revision": position.revision,
+        }
+        log.warning("the store was restored from an older copy", extra=fields)
+        self.metrics.count_event("store_restores")
+
     def _update_shares(self, now: float) -> None:
         """Update this instance's share of the fleet's budgets and connections."""
         share = self.peer_table.budget_share(now, self._cores)
@@ -352,7 +365,7 @@
         age_s = self._clock.now() - self.registry.confirmed_at
         return {
             "revision": self.registry.revision,
-            "newest": self.peer_table.newest_revision(),
+            "newest": self.peer_table.newest_position().revision,
             "confirmed_age_s": round(age_s, 2) if isfinite(age_s) else None,
         }
 
--- a/currantwharf/gateway/registry.py
+++ b/currantwharf/gateway/registry.py
@@ -16,6 +16,7 @@
     ServerRemoved,
     StoreChange,
 )
+from currantwharf.gateway.store_position import StorePosition
 
 # Recent changes kept for peers; a peer further behind fetches a full snapshot.
 CHANGE_LOG_LENGTH = 4_000
@@ -35,6 +36,11 @@
     that it names has left and no entry is kept. `store_returned_at` is when the store
     last became available.
 
+    A store restored from an older copy gives revisions out again, in a later `era`. A
+    snapshot of a later era is merged into the view, whose revisions then all count as
+    older than those of the new era; changes of earlier eras are ignored.
+    `on_restored` is called with the position that was known before.
+
     A first read may be seconds old. `is_confirmed` is true once the store, or a peer
     that serves, has shown that no change is missing; `on_confirmed` is called then.
     `confirmed_at` is the latest time at which no change was missing, as far as known.
@@ -45,12 +51,15 @@
         self.directory = directory
         self.config: GatewayConfig | None = None
         self.routes = RouteTable(())
+        self.era = 0
         self.revision = 0
+        self.has_seen_restore = False
         self.store_returned_at = -STORE_RETURN_WINDOW_S
         self.is_confirmed = False
         self.confirmed_at = NEVER
         self.on_confirmed: Callable[[], None] = lambda: None
         self.on_restarted: Callable[[str], None] = lambda server: None
+        self.on_restored: Callable[[StorePosition], None] = lambda position: None
         self._chooser = chooser
         self._data_centre_states: dict[str, tuple[int, bool]] = {}
         self._config_revision = 0
@@ -63,6 +72,11 @@
         """Whether a configuration has been received."""
         return self.config is not None
 
+    @property
+    def position(self) -> StorePosition:
+        """The position up to which no change of the store is missing."""
+        return StorePosition(self.era, self.revision)
+
     def is_shard(self, service: str) -> bool:
         """Return whether the configuration names a service as a shard."""
         return service in self._shards
@@ -94,7 +108,10 @@
         """Apply changes; return those that changed the view.
 
         The registry's revision advances only if there is no gap before these changes.
+        Changes of another era are ignored.
         """
+        if events.era != self.era:
+            return []
         new_changes = [
             change for change in events.changes if self.apply_change(change, now)
         ]
@@ -107,7 +124,7 @@
         if revision < self._change_log_start:
             return None
         changes = tuple(c for c in self._change_log if c.revision > revision)
-        return StoreEvents(changes, revision, self.revision)
+        return StoreEvents(changes, revision, self.revision, self.era)
 
     def build_snapshot(self) -> StoreSnapshot:
         """Return the whole view, for a peer."""
@@ -123,7 +140,7 @@
         if self.config is not None:
             config = ConfigChanged(self.config)
             changes.append(RevisedChange(self._config_revision, config))
-        return StoreSnapshot(tuple(changes), self.revision)
+        return StoreSnapshot(tuple(changes), self.revision, self.era)
 
     def apply_snapshot(
         self, snapshot: StoreSnapshot, now: float
@@ -133,6 +150,10 @@
         Servers that are missing from it are removed, and data centres that it does not
         list as out of service are in service again, unless their known state is newer.
         """
+        if snapshot.era < self.era:
+            return []
+        if snapshot.era > self.era:
+            self.restart(snapshot.era, now)
         new_changes = [
             change for change in snapshot.changes if self.apply_change(change, now)
         ]
@@ -163,6 +184,26 @@
             self._change_log_start = max(self._change_log_start, snapshot.revision)
         return new_changes
 
+    def restart(self, era: int, now: float) -> None:
+        """Count all that is known as older than any change of `era`.
+
+        A snapshot has to follow. Servers that it lacks may register again, as after an
+        outage.
+        """
+        position = self.position
+        self.era, self.revision = era, 0
+        self.directory.reset_revisions()
+        self._data_centre_states = {
+            name: (0, is_out) for name, (_, is_out) in self._data_centre_states.items()
+        }
+        self._config_revision = 0
+        self._change_log.clear()
+        self._change_log_start = 0
+        if position.revision:
+            self.has_seen_restore = True
+            self.store_returned_at = now
+            self.on_restored(position)
+
     def expire(self, now: float) -> list[str]:
         """Drop and return servers that did not register again in time."""
         return self.directory.expire(now)
--- a/currantwharf/gateway/registry_task.py
+++ b/currantwharf/gateway/registry_task.py
@@ -11,6 +11,7 @@
 from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
 from currantwharf.gateway.metadata_store import MetadataStore, StoreFailure
 from currantwharf.gateway.registry import Registry
+from currantwharf.gateway.store_position import StorePosition
 from currantwharf.runtime.clock import Clock
 from currantwharf.runtime.component_log import component_logger
 
@@ -84,6 +85,7 @@
         self._reads_without_watch = 0
         self._backoff_until = -1e9
         self._may_be_stale = True
+        self._needs_snapshot = False
         self._is_watching = False
         self._lagging_since: float | None = None
         self._next_requested_check_at = -1e9
@@ -105,21 +107,22 @@
 
         ensureDeferred(run()).addErrback(restart)
 
-    def check_watch_lag(self, newest_revision: int) -> None:
-        """Cancel a watch that lags behind the newest revision reported by peers.
+    def check_watch_lag(self, newest: StorePosition) -> None:
+        """Cancel a watch that lags behind the newest position reported by peers.
 
         A watch that returns nothing while peers receive changes no longer delivers
         events, though its connection is open. It is cancelled, and another instance
         reads for a while.
         """
         now = self._clock.now()
-        if not self._is_watching or self._watched_after >= newest_revision:
+        watched = StorePosition(self._registry.era, self._watched_after)
+        if not self._is_watching or watched >= newest:
             self._lagging_since = None
         elif self._lagging_since is None:
             self._lagging_since = now
         elif now - self._lagging_since > MAX_WATCH_LAG_S:
             self._lagging_since = None
-            log.warning("the watch brings nothing", extra={"newest": newest_revision})
+            log.warning("the watch brings nothing", extra={"newest": newest.revision})
             self._back_off(now)
             self._store.cancel_watch()
 
@@ -129,14 +132,14 @@
         return self._clock.now() >= self._backoff_until
 
     async def _run(self) -> None:
-        needs_snapshot = not self._registry.has_config
+        self._needs_snapshot = not self._registry.has_config
         while True:
-            if needs_snapshot:
-                needs_snapshot = not await self._read_all()
+            if self._needs_snapshot:
+                self._needs_snapshot = not await self._read_all()
             elif self._registry.has_config and not self._registry.is_confirmed:
-                needs_snapshot = not await self._watch(0.0)
+                await self._watch(0.0)
             elif self._is_reader():
-                needs_snapshot = not await self._watch(WATCH_WAIT_S)
+                await self._watch(WATCH_WAIT_S)
             else:
                 await self._wait(READER_CHECK_INTERVAL_S)
 
@@ -151,6 +154,7 @@
             delay_s = min(MIN_RETRY_DELAY_S * 2**doublings, MAX_REREAD_DELAY_S)
             await self._wait(delay_s * self._rng.uniform(0.5, 1.0))
         self._reads_without_watch += not self._may_be_stale
+        position = self._registry.position
         result = await self._store.read_all(self._may_be_stale)
         if isinstance(result, StoreFailure):
             await self._on_store_failure(result)
@@ -159,7 +163,16 @@
         assert isinstance(result, StoreSnapshot)
         is_current, self._may_be_stale = not self._may_be_stale, False
         self._on_store_answer()
-        changes = self._registry.apply_snapshot(result, self._clock.now())
+        now = self._clock.now()
+        if (
+            is_current
+            and result.era == position.era == self._registry.era
+            and result.revision < position.revision
+        ):
+            # What is known can't come from this store: its revision only rises.
+            log.warning("the store's revision went back", extra={"known": position})
+            self._registry.restart(result.era, now)
+        changes = self._registry.apply_snapshot(result, now)
         source = ChangeSource.READ if is_current else ChangeSource.STALE_READ
         log.info(
             "read the whole store",
@@ -171,34 +184,52 @@
         )
         self._on_changes(changes, source)
         if is_current:
-            self._registry.confirm(result.revision, self._clock.now())
+            self._confirm(result)
         return True
 
-    async def _watch(self, wait_s: float) -> bool:
-        """Watch once; return False if the store has lost the history since then."""
+    async def _watch(self, wait_s: float) -> None:
+        """Watch once; ask for a snapshot if the store has lost the history."""
         after = self._watched_after = self._registry.revision
         self._is_watching = True
         result = await self._store.watch(after, wait_s)
         self._is_watching = False
         if result is StoreFailure.HISTORY_LOST:
             log.warning("the store's history is lost", extra={"after": after})
-            return False
+            self._needs_snapshot = True
+            return
         if isinstance(result, StoreFailure):
             await self._on_store_failure(result)
-            return True
+            return
         assert isinstance(result, StoreEvents)
-        self._reads_without_watch = 0
         self._on_store_answer()
+        if result.era != self._registry.era:
+            await self._on_other_era(result)
+            return
+        self._reads_without_watch = 0
         changes = self._registry.apply_events(result, self._clock.now())
         if changes:
             self._on_changes(changes, ChangeSource.WATCH)
-        self._registry.confirm(result.revision, self._clock.now())
+        self._confirm(result)
         if result.changes:
             await self._wait(WATCH_INTERVAL_S)
         elif not wait_s:
             # Time to hear from peers which of them is the reader.
             await self._wait(READER_CHECK_INTERVAL_S)
-        return True
+
+    async def _on_other_era(self, result: StoreEvents) -> None:
+        """Ask for a snapshot if the store was restored since the watch's revision.
+
+        An answer of an earlier era was on its way while a peer told of the later one.
+        """
+        if result.era > self._registry.era:
+            self._needs_snapshot = True
+        else:
+            await self._wait(MIN_RETRY_DELAY_S)
+
+    def _confirm(self, result: StoreEvents | StoreSnapshot) -> None:
+        """Record that nothing is missing up to the revision of an answer just got."""
+        if result.era == self._registry.era:
+            self._registry.confirm(result.revision, self._clock.now())
 
     def _on_store_answer(self) -> None:
         now = self._clock.now()
@@ -259,10 +290,14 @@
         result = await self._store.watch(self._registry.revision, 0.0)
         if not isinstance(result, StoreEvents):
             log.info("spot check failed", extra={"why": result})
+            self._needs_snapshot |= result is StoreFailure.HISTORY_LOST
             self._back_off(self._clock.now())
             return
+        if result.era != self._registry.era:
+            await self._on_other_era(result)
+            return
         changes = self._registry.apply_events(result, self._clock.now())
-        self._registry.confirm(result.revision, self._clock.now())
+        self._confirm(result)
         if changes:
             log.info("spot check found changes", extra={"count": len(changes)})
             self._on_changes(changes, ChangeSource.SPOT_CHECK)
--- a/currantwharf/gateway/server_directory.py
+++ b/currantwharf/gateway/server_directory.py
@@ -1,6 +1,6 @@
 """A directory of the registered backend servers, by service."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from currantwharf.gateway.server_entry import ServerEntry
 
@@ -80,6 +80,16 @@
             self.change_count += 1
         return expired
 
+    def reset_revisions(self) -> None:
+        """Count all known changes as older than any that follows."""
+        self._entries = {
+            server: (0, entry) for server, (_, entry) in self._entries.items()
+        }
+        self._removed = {
+            server: replace(removal, revision=0)
+            for server, removal in self._removed.items()
+        }
+
     def get_servers(self, service: str) -> dict[str, ServerEntry]:
         """Return the usable servers of a service by their ids."""
         return self._entries_by_service.get(service, {})
--- a/currantwharf/gateway/tests/test_registry_task.py
+++ b/currantwharf/gateway/tests/test_registry_task.py
@@ -16,6 +16,7 @@
     RegistryTask,
 )
 from currantwharf.gateway.store_change import ServerRemoved
+from currantwharf.gateway.store_position import StorePosition
 from currantwharf.tests.gateway_builders import (
     config_change,
     make_chooser,
@@ -76,8 +77,8 @@
         )
         self.task.start()
 
-    def answer_first_read(self):
-        snapshot = StoreSnapshot((config_change(3, 5),), 10)
+    def answer_first_read(self, era=0):
+        snapshot = StoreSnapshot((config_change(3, 5),), 10, era)
         self.store.answer("stale", snapshot)
 
     def answer_first_read_and_confirm(self):
@@ -152,13 +153,69 @@
         for _ in range(100):
             if self.store.calls and self.store.calls[0][0] == "read":
                 reads += 1
-                self.store.answer("read", StoreSnapshot((config_change(3, 5),), 9))
+                self.store.answer("read", StoreSnapshot((config_change(3, 5),), 10))
             if self.store.calls:
                 self.store.answer("watch 10", StoreFailure.HISTORY_LOST)
             self.clock.advance(0.1)
         self.assertLess(reads, 12)
         self.assertGreater(reads, 3)
 
+    def restore_store(self, version, revision, answer_watch=True):
+        """Answer a watch by a later era, and the read that follows by the same."""
+        if answer_watch:
+            self.store.answer("watch 10", StoreEvents((), 10, 10, era=2))
+        snapshot = StoreSnapshot((config_change(version, revision),), revision, era=2)
+        self.store.answer("read", snapshot)
+
+    def test_change_with_a_revision_given_out_again_is_applied(self):
+        """The store was restored to revision 8 and has reached 10 again."""
+        self.answer_first_read(era=1)
+        self.restore_store(version=4, revision=10)
+        self.assertEqual(self.registry.config.version, 4)
+        self.assertEqual(self.registry.position, StorePosition(2, 10))
+        events = StoreEvents((config_change(5, 11),), 10, 11, era=2)
+        self.store.answer("watch 10", events)
+        self.assertEqual(self.registry.config.version, 5)
+
+    def test_restored_store_that_is_behind_is_watched_from_its_own_revision(self):
+        self.answer_first_read(era=1)
+        self.store.answer("watch 10", StoreFailure.HISTORY_LOST)
+        self.restore_store(version=2, revision=7, answer_watch=False)
+        self.assertEqual(self.registry.config.version, 3)
+        self.assertEqual(self.store.calls[0][0], "watch 7")
+
+    def test_spot_check_notices_that_the_store_was_restored(self):
+        self.is_reader = False
+        self.answer_first_read(era=1)
+        self.store.answer("watch 10", StoreEvents((), 10, 10, era=1))
+        while not self.store.calls:
+            self.clock.advance(0.1)
+        self.store.answer("watch 10", StoreEvents((), 10, 10, era=2))
+        self.clock.advance(READER_CHECK_INTERVAL_S)
+        self.restore_store(version=4, revision=10, answer_watch=False)
+        self.assertEqual(self.registry.config.version, 4)
+
+    def test_late_answer_of_an_earlier_era_is_ignored(self):
+        self.answer_first_read(era=1)
+        snapshot = StoreSnapshot((config_change(4, 6),), 6, era=2)
+        self.registry.apply_snapshot(snapshot, self.clock.seconds())
+        events = StoreEvents((config_change(5, 11),), 10, 11, era=1)
+        self.store.answer("watch 10", events)
+        self.assertEqual(self.registry.config.version, 4)
+        self.assertEqual(self.registry.position, StorePosition(2, 6))
+
+    def test_stale_first_read_from_before_the_restore_is_replaced(self):
+        """A copy that lags behind answers the first read with what was lost."""
+        lost = server_change("lost", 9)
+        stale = StoreSnapshot((config_change(3, 5), lost), 10, era=2)
+        self.store.answer("stale", stale)
+        self.store.answer("watch 10", StoreFailure.HISTORY_LOST)
+        kept = server_change("kept", 6)
+        self.store.answer("read", StoreSnapshot((config_change(3, 5), kept), 7, era=2))
+        self.assertEqual(self.registry.position, StorePosition(2, 7))
+        self.assertIsNotNone(self.registry.directory.get("kept"))
+        self.assertIsNone(self.registry.directory.get("lost"))
+
     def test_failures_are_retried_soon_and_keep_the_registry(self):
         self.answer_first_read()
         for _ in range(5):
@@ -190,14 +247,14 @@
 
     def test_watch_that_lags_behind_peers_is_cancelled(self):
         self.answer_first_read()
-        self.task.check_watch_lag(10)
+        self.task.check_watch_lag(StorePosition(0, 10))
         self.clock.advance(2.0)
-        self.task.check_watch_lag(12)
+        self.task.check_watch_lag(StorePosition(0, 12))
         self.clock.advance(0.5)
-        self.task.check_watch_lag(12)
+        self.task.check_watch_lag(StorePosition(0, 12))
         self.assertTrue(self.task.can_read)
         self.clock.advance(0.5)
-        self.task.check_watch_lag(12)
+        self.task.check_watch_lag(StorePosition(0, 12))
         self.assertFalse(self.task.can_read)
         self.assertEqual(self.backoffs, [True])
         self.clock.advance(1.0)
--- a/currantwharf/peers/hello.py
+++ b/currantwharf/peers/hello.py
@@ -43,7 +43,8 @@
     losses of backend servers, and `counts` the number of instances in each data centre,
     the sender's own first. `limits` tells what some servers have said of their limits,
     and `loss_count` how many losses the sender knows. `confirmed_age_s` is how long ago
-    no change was missing at the sender, None if that is unknown.
+    no change was missing at the sender, None if that is unknown. `era` is the era of
+    the store to which `revision` and `events` belong; 0 if unknown.
     """
 
     name: str
@@ -62,6 +63,7 @@
     limits: tuple[LimitReport, ...] = ()
     loss_count: int = 0
     confirmed_age_s: float | None = None
+    era: int = 0
 
 
 _decoder = msgspec.msgpack.Decoder(Hello)
--- a/currantwharf/peers/peer_table.py
+++ b/currantwharf/peers/peer_table.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 
+from currantwharf.gateway.store_position import StorePosition
 from currantwharf.peers.hello import Hello, InstanceCount, MemberSummary
 from currantwharf.peers.instance_counts import COUNT_TTL_S, InstanceCounts
 from currantwharf.policy.rendezvous import highest, score
@@ -17,6 +18,7 @@
 INSTANCES_PER_HUB = 7  # instances of a data centre whose queries one hub runs
 STORE_FAILURE_TTL_S = 12.0  # time after a failure in which the store is not trusted
 MAX_MEMBERS_PER_HELLO = 4
+NO_POSITION = StorePosition(0, 0)
 HUB_BUDGET_RATIO = 0.5  # share of the fleet's budgets for instances that run queries
 
 
@@ -33,7 +35,7 @@
     data_centre: str
     heard_at: float
     can_read: bool = True
-    revision: int = 0
+    position: StorePosition = NO_POSITION
     is_serving: bool = False
     cores: float = 0.0
 
@@ -66,7 +68,7 @@
             hello.data_centre,
             now,
             hello.can_read,
-            hello.revision,
+            StorePosition(hello.era, hello.revision),
             hello.is_serving,
             hello.cores,
         )
@@ -180,9 +182,10 @@
         """Return whether any instance recently reported a failure of the store."""
         return now - self._store_failed_at < STORE_FAILURE_TTL_S
 
-    def newest_revision(self) -> int:
-        """Return the highest store revision that another instance has reported."""
-        return max((peer.revision for peer in self._peers.values()), default=0)
+    def newest_position(self) -> StorePosition:
+        """Return the newest store position that another instance has reported."""
+        positions = (peer.position for peer in self._peers.values())
+        return max(positions, default=NO_POSITION)
 
     def has_recent_contact(self, now: float) -> bool:
         """Return whether any other instance was heard of within `READER_TIMEOUT_S`."""
--- a/currantwharf/peers/peer_task.py
+++ b/currantwharf/peers/peer_task.py
@@ -16,11 +16,12 @@
 from currantwharf.gateway.limit_report import LimitReport
 from currantwharf.gateway.registry import NEVER, Registry
 from currantwharf.gateway.server_report import ServerReport
+from currantwharf.gateway.store_position import StorePosition
 from currantwharf.http1 import HttpRequest, Responder, parse_count
 from currantwharf.peers.crash_sync import CRASHES_PATH, CrashSync
 from currantwharf.peers.hello import Hello, decode_hello, encode_hello
 from currantwharf.peers.peer_fetch import fetch_from_peer
-from currantwharf.peers.peer_table import PeerTable
+from currantwharf.peers.peer_table import NO_POSITION, PeerTable
 from currantwharf.peers.report_datagram import decode_reports, encode_reports
 from currantwharf.runtime.clock import Clock
 from currantwharf.runtime.component_log import component_logger
@@ -42,7 +43,7 @@
 # confirmation does not become younger as it is passed on.
 HELLO_DELAY_S = 0.1
 MAX_REVISION = 2**63 - 1
-FETCH_PATH = b"/changes?after=%d"
+FETCH_PATH = b"/changes?after=%d&era=%d"
 LOCAL_FANOUT = 2  # recipients of a change announcement in this data centre
 REMOTE_FANOUT = 2  # recipients of a change announcement in other data centres
 REMOTE_ANNOUNCERS = 3.0  # instances per data centre that announce a change remotely
@@ -123,7 +124,7 @@
         for peer in self.table.choose_targets(
             self._clock.now(), local_count, remote_count
         ):
-            self._send_hello(peer.host, peer.revision, peer.data_centre)
+            self._send_hello(peer.host, peer.position, peer.data_centre)
 
     def request_hellos(self) -> None:
         """Ask a few instances for a hello, or the seeds if no instance is known."""
@@ -151,10 +152,12 @@
         if request.target == CRASHES_PATH:
             responder.finish(200, (), self._crash_sync.encode_all(self._clock.now()))
             return
-        _, _, value = request.target.partition(b"after=")
+        _, _, query = request.target.partition(b"after=")
+        value, _, era_value = query.partition(b"&era=")
         after = parse_count(value, MAX_REVISION) or 0
+        era = parse_count(era_value, MAX_REVISION) or 0
         found: StoreEvents | StoreSnapshot | None = None
-        if after:
+        if after and self._resolve_era(era) == self._registry.era:
             found = self._registry.get_events_after(after)
         if found is None:
             found = self._registry.build_snapshot()
@@ -174,22 +177,47 @@
             return
         now = self._clock.now()
         self.heard_at = now
+        hello = msgspec.structs.replace(hello, era=self._resolve_era(hello.era))
         is_new = self.table.record_hello(hello, now)
         self._crash_sync.on_hello(hello, now)
         if hello.limits:
             self._on_limit_reports(hello.limits)
-        old_revision = self._registry.revision
-        if hello.events is not None and hello.events.after <= old_revision:
-            self._apply(hello.events, ChangeSource.HELLO)
+        old_position = self._registry.position
+        position = StorePosition(hello.era, hello.revision)
+        if hello.era == self._registry.era:
+            self._learn_in_same_era(hello, now)
+        if position > self._registry.position:
+            self._schedule_fetch(hello)
+        # An earlier build that has missed a restore takes itself to be ahead. It would
+        # reply to each reply.
+        is_behind = position < old_position and bool(
+            hello.era or not self._registry.has_seen_restore
+        )
+        if is_new or hello.wants_reply or is_behind:
+            self._send_hello(hello.host, position, hello.data_centre)
+
+    def _learn_in_same_era(self, hello: Hello, now: float) -> None:
+        """Apply the changes in a hello, and note what it confirms."""
+        registry = self._registry
+        if hello.events is not None and hello.events.after <= registry.revision:
+            self._apply(
+                msgspec.structs.replace(hello.events, era=hello.era), ChangeSource.HELLO
+            )
         if hello.confirmed_age_s is not None:
             confirmed_at = now - max(0.0, hello.confirmed_age_s) - HELLO_DELAY_S
-            self._registry.confirm(hello.revision, confirmed_at)
+            registry.confirm(hello.revision, confirmed_at)
         elif hello.is_serving:
-            self._registry.confirm(hello.revision, NEVER)
-        if hello.revision > self._registry.revision:
-            self._schedule_fetch(hello)
-        if is_new or hello.wants_reply or hello.revision < old_revision:
-            self._send_hello(hello.host, hello.revision, hello.data_centre)
+            registry.confirm(hello.revision, NEVER)
+
+    def _resolve_era(self, era: int) -> int:
+        """Return the era of what an instance tells, which is 0 for earlier builds.
+
+        They do not notice when the store is restored. Until this instance has seen
+        that happen, they are taken to know the same era.
+        """
+        if era or self._registry.has_seen_restore:
+            return era
+        return self._registry.era
 
     def _on_round(self) -> None:
         now = self._clock.now()
@@ -216,7 +244,9 @@
 
     def _request_hello(self, host: str) -> None:
         if host != self._instance_info.host:
-            self._send_hello(host, 0, self._instance_info.data_centre, wants_reply=True)
+            self._send_hello(
+                host, NO_POSITION, self._instance_info.data_centre, wants_reply=True
+            )
 
     def _is_drawn_as_sender(
         self, expected_senders: float, max_probability: float = 1.0
@@ -233,7 +263,7 @@
     def _send_hello(
         self,
         host: str,
-        known_revision: int,
+        known_position: StorePosition,
         data_centre: str,
         wants_reply: bool = False,
     ) -> None:
@@ -241,7 +271,7 @@
             return
         now = self._clock.now()
         is_serving, can_read = self._get_status()
-        events = self._select_inline_events(known_revision)
+        events = self._select_inline_events(known_position)
         hello = Hello(
             self.table.name,
             self._boot,
@@ -260,6 +290,7 @@
             self._select_limit_reports() if events is None else (),
             self._crash_watch.table.count_losses(now),
             self._get_confirmed_age_s(now),
+            self._registry.era,
         )
         self.transport.write(
             encode_hello(hello), (host, self._instance_info.gossip_port)
@@ -270,10 +301,11 @@
             return None
         return round(now - self._registry.confirmed_at, 2)
 
-    def _select_inline_events(self, known_revision: int) -> StoreEvents | None:
-        if not 0 < known_revision < self._registry.revision:
+    def _select_inline_events(self, known: StorePosition) -> StoreEvents | None:
+        is_same_era = known.era == self._registry.era
+        if not is_same_era or not 0 < known.revision < self._registry.revision:
             return None
-        events = self._registry.get_events_after(known_revision)
+        events = self._registry.get_events_after(known.revision)
         if events is None or len(events.changes) > 8:
             return None
         is_small = len(msgspec.msgpack.encode(events)) <= MAX_INLINE_BYTES
@@ -289,19 +321,21 @@
 
         Traffic between data centres is expensive, and each data centre has a reader of
         its own: the fetch is skipped if the changes have arrived before the delay ends.
-        An instance that has no revision yet fetches at once.
+        An instance that has no revision yet, or one of an earlier era, fetches at once.
         """
         is_local = hello.data_centre == self._instance_info.data_centre
-        if is_local or self._registry.revision == 0:
+        is_restored = hello.era > self._registry.era
+        if is_local or is_restored or self._registry.revision == 0:
             delay_s = 0.0
         elif self.table.has_recent_store_failure(self._clock.now()):
             delay_s = REMOTE_FETCH_DELAY_ON_STORE_FAILURE_S
         else:
             delay_s = REMOTE_FETCH_DELAY_S
-        self._reactor.callLater(delay_s, self._fetch, hello.host, hello.revision)
+        position = StorePosition(hello.era, hello.revision)
+        self._reactor.callLater(delay_s, self._fetch, hello.host, position)
 
-    def _fetch(self, host: str, revision: int) -> None:
-        if self.is_fetching or self._registry.revision >= revision:
+    def _fetch(self, host: str, position: StorePosition) -> None:
+        if self.is_fetching or self._registry.position >= position:
             return
         self.is_fetching = True
 
@@ -309,7 +343,8 @@
             self.is_fetching = False
             self._on_fetched(body, host)
 
-        self._request(host, FETCH_PATH % self._registry.revision, finish)
+        target = FETCH_PATH % (self._registry.revision, self._registry.era)
+        self._request(host, target, finish)
 
     def _request(
         self, host: str, target: bytes, on_body: Callable[[bytes | None], None]
@@ -332,16 +367,17 @@
                 extra={"from": host, "why": str(exc)},
             )
             return
-        self._apply(found, ChangeSource.FETCH)
+        era = self._resolve_era(found.era)
+        self._apply(msgspec.structs.replace(found, era=era), ChangeSource.FETCH)
 
     def _apply(self, found: StoreEvents | StoreSnapshot, source: ChangeSource) -> None:
         now = self._clock.now()
-        old_revision = self._registry.revision
+        old_position = self._registry.position
         if isinstance(found, StoreSnapshot):
             changes = self._registry.apply_snapshot(found, now)
         else:
             changes = self._registry.apply_events(found, now)
         if changes:
             self._on_changes(changes, source)
-        if self._registry.revision > old_revision:
+        if self._registry.position > old_position:
             self.announce_change()
--- a/currantwharf/peers/tests/test_peer_task.py
+++ b/currantwharf/peers/tests/test_peer_task.py
@@ -9,6 +9,7 @@
 from currantwharf.gateway.limit_report import LimitReport
 from currantwharf.gateway.registry import NEVER, Registry
 from currantwharf.gateway.server_report import ServerReport
+from currantwharf.gateway.store_position import StorePosition
 from currantwharf.http1 import HttpRequest, Responder
 from currantwharf.peers.hello import Hello, encode_hello
 from currantwharf.peers.peer_table import PeerTable
@@ -97,7 +98,7 @@
         registry = self.tasks[name]._registry
         answers = []
         responder = Responder(lambda status, headers, body: answers.append(body))
-        target = b"/changes?after=%d" % registry.revision
+        target = b"/changes?after=%d&era=%d" % (registry.revision, registry.era)
         request = HttpRequest(b"GET", target, (), b"", True)
         self.tasks[host].answer_fetch(request, responder)
         answer = type("Answer", (), {"status": 200, "body": answers[0]})()
@@ -218,6 +219,80 @@
             self.tasks[f"i{index}"] = self.start(f"i{index}")
         self.assertLess(measure_rate(), 1.5 * small_fleet_rate)
 
+    def restore_at(self, name, version, revision):
+        """Let one instance see the store restored; return its registry."""
+        registry = self.tasks[name]._registry
+        snapshot = StoreSnapshot((config_change(version, revision),), revision, era=2)
+        registry.apply_snapshot(snapshot, self.network.seconds())
+        return registry
+
+    def start_in_first_era(self):
+        for task in self.tasks.values():
+            snapshot = StoreSnapshot((config_change(3, 9),), 51, era=1)
+            task._registry.apply_snapshot(snapshot, 0.0)
+        for _ in range(50):
+            self.network.advance(0.1)
+
+    def positions(self):
+        return {task._registry.position for task in self.tasks.values()}
+
+    def test_restored_store_that_one_instance_has_seen_is_taken_by_all(self):
+        """The others know a higher revision, of the era before."""
+        self.start_in_first_era()
+        self.restore_at("i2", 4, 50)
+        self.tasks["i2"].announce_change()
+        for _ in range(20):
+            self.network.advance(0.1)
+        self.assertEqual(self.positions(), {StorePosition(2, 50)})
+        versions = {task._registry.config.version for task in self.tasks.values()}
+        self.assertEqual(versions, {4})
+
+    def test_instance_that_was_cut_off_during_the_restore_does_not_undo_it(self):
+        self.start_in_first_era()
+        self.network.cut_hosts = {"i3"}
+        self.restore_at("i0", 4, 50)
+        for _ in range(50):
+            self.network.advance(0.1)
+        late = self.tasks["i3"]._registry
+        events = StoreEvents((server_change("lost", 52),), 51, 52, era=1)
+        late.apply_events(events, self.network.seconds())
+        self.network.cut_hosts = set()
+        for _ in range(40):
+            self.network.advance(0.1)
+        self.assertEqual(self.positions(), {StorePosition(2, 50)})
+        for name in ("i0", "i1", "i2"):
+            directory = self.tasks[name]._registry.directory
+            self.assertEqual(directory.get_servers("camphor"), {})
+
+    def test_second_restore_is_taken_before_all_know_of_the_first(self):
+        self.start_in_first_era()
+        self.restore_at("i0", 4, 50)
+        snapshot = StoreSnapshot((config_change(5, 40),), 40, era=3)
+        registry = self.tasks["i1"]._registry
+        registry.apply_snapshot(snapshot, self.network.seconds())
+        for _ in range(40):
+            self.network.advance(0.1)
+        self.assertEqual(self.positions(), {StorePosition(3, 40)})
+
+    def test_earlier_build_does_not_undo_a_restore(self):
+        """It names no era, and knows a higher revision of the era before."""
+        self.start_in_first_era()
+        registry = self.restore_at("i2", 4, 50)
+        old = StoreEvents((server_change("lost", 52),), 50, 52)
+        sent_count = self.network.sent_count
+        self.receive_hello("i2", 52, True, events=old)
+        self.assertEqual(self.network.sent_count, sent_count)
+        self.network.advance(1.0)
+        self.assertEqual(registry.position, StorePosition(2, 50))
+        self.assertEqual(registry.directory.get_servers("camphor"), {})
+
+    def test_earlier_build_is_heard_until_a_restore_is_seen(self):
+        self.start_in_first_era()
+        events = StoreEvents((server_change("s1", 52),), 51, 52)
+        self.receive_hello("i2", 52, True, events=events)
+        registry = self.tasks["i2"]._registry
+        self.assertEqual(registry.position, StorePosition(1, 52))
+
     def test_remote_changes_are_fetched_sooner_after_a_store_failure(self):
         task = self.tasks["i0"]
         self.network.advance(0.1)
--- a/currantwharf/platform/tests/test_end_to_end.py
+++ b/currantwharf/platform/tests/test_end_to_end.py
@@ -249,6 +249,29 @@
             )
         )
 
+    def restore_store(self, copy):
+        """Restore the store; the operator writes the newest configuration again."""
+        self.site.store.restore(copy)
+        self.site.version -= 1
+        self.site.publish()
+
+    def test_change_after_the_store_was_restored_is_in_force(self):
+        """Its revision was given out before, and both instances know a higher one."""
+        copy = self.site.store.take_copy()
+        for _ in range(3):
+            self.site.publish()
+        version = self.site.version
+        run_until(lambda: self.are_at(version))
+        self.restore_store(copy)
+        self.site.publish()
+        self.assertLess(
+            self.site.store.revision, self.instances[0].gateway.registry.revision
+        )
+        run_until(lambda: self.are_at(version + 1), 4.0)
+
+    def are_at(self, version):
+        return all(i.gateway.registry.config.version == version for i in self.instances)
+
     def start_third_instance(self, caller_socket=None):
         """Start a third instance, on a socket that already listens if one is given."""
         instance = PlatformInstance(self.settings[2], reactor, 0, caller_socket)
--- a/currantwharf/standin/metadata_store.py
+++ b/currantwharf/standin/metadata_store.py
@@ -6,24 +6,35 @@
 import base64
 import json
 from collections import deque
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs
 
 from currantwharf.http1 import HttpRequest, Responder
-from currantwharf.platform.names import RANGE_PATH, WATCH_PATH
+from currantwharf.platform.names import RANGE_PATH, STORE_ERA, WATCH_PATH
 
 ITEMS_PER_PAGE = 50
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The content of the store at a revision."""
+
+    items: dict[str, dict[str, Any]]
+    revision: int
+
+
 class MetadataStoreStandIn:
     """A key-value store with one revision counter and a history of its changes.
 
     `calls` counts the HTTP requests. `fault` is the HTTP status that each call gets
-    instead of an answer, or `silent` for a store that never answers.
+    instead of an answer, or `silent` for a store that never answers. `era` counts the
+    restores from a copy, and all answers name it.
     """
 
     def __init__(self, reactor: Any) -> None:
         self.revision = 1
+        self.era = 1
         self.calls = 0
         self.fault: int | str | None = None
         self._reactor = reactor
@@ -58,13 +69,26 @@
         self._events.clear()
         self._compacted_revision = self.revision
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of the content, for a later `restore`."""
+        return StoreCopy(dict(self._items), self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace the content by an older copy, whose revisions are given out again."""
+        self._items, self.revision = dict(copy.items), copy.revision
+        self.era += 1
+        self.forget_history()
+        watches, self._watches = self._watches, []
+        for _, _, responder in watches:
+            self._finish(responder, 410)
+
     def handle(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one HTTP request."""
         self.calls += 1
         if self.fault == "silent":
             return
         if isinstance(self.fault, int):
-            responder.finish(self.fault, (), b"")
+            self._finish(responder, self.fault)
             return
         path, _, query = request.target.decode().partition("?")
         fields = {k: v[0] for k, v in parse_qs(query, keep_blank_values=True).items()}
@@ -73,7 +97,13 @@
         elif path == WATCH_PATH:
             self._open_watch(fields, responder)
         else:
-            responder.finish(404, (), b"")
+            self._finish(responder, 404)
+
+    def _finish(
+        self, responder: Responder, status: int, body: object | None = None
+    ) -> None:
+        data = b"" if body is None else json.dumps(body).encode()
+        responder.finish(status, ((STORE_ERA, b"%d" % self.era),), data)
 
     def _answer_range(self, fields: dict[str, str], responder: Responder) -> None:
         keys = sorted(
@@ -86,12 +116,12 @@
             "truncated": len(keys) > ITEMS_PER_PAGE,
             "store-revision": self.revision,
         }
-        responder.finish(200, (), json.dumps(body).encode())
+        self._finish(responder, 200, body)
 
     def _open_watch(self, fields: dict[str, str], responder: Responder) -> None:
         after = int(fields["after"])
-        if after < self._compacted_revision:
-            responder.finish(410, (), b"")
+        if not self._compacted_revision <= after <= self.revision:
+            self._finish(responder, 410)
             return
         watch = (fields["prefix"], after, responder)
         if self._answer_watch(watch, only_if_events=True):
@@ -123,5 +153,5 @@
         if only_if_events and not events:
             return False
         body = {"events": events, "store-revision": self.revision}
-        responder.finish(200, (), json.dumps(body).encode())
+        self._finish(responder, 200, body)
         return True
