Pass on what is kept over a restore of the store

What callers saw: nothing; found by reading. Cause: what an instance keeps over a restore, such as a configuration that the copy lacks, has no revision in the new era, and an instance that starts ignored it when it fetched it from a peer: it would have come up with an older version. Besides, an era of 0 was taken for an unknown one.

Change: what is kept is told with the lowest revision; an unknown era has a value of its own, and a first known era is no restore.

Evidence: test_what_is_kept_over_a_restore_is_passed_on_to_a_new_instance failed before.

--- a/currantwharf/gateway/changes.py
+++ b/currantwharf/gateway/changes.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from currantwharf.gateway.store_change import StoreChange
+from currantwharf.gateway.store_position import NO_ERA
 
 
 class RevisedChange(msgspec.Struct, frozen=True):
@@ -16,21 +17,21 @@
     """All published entries, and the revision from which to watch for changes.
 
     `era` counts how often the store was restored from an older copy, which gives
-    revisions out again; 0 if unknown.
+    revisions out again.
     """
 
     changes: tuple[RevisedChange, ...]
     revision: int
-    era: int = 0
+    era: int = NO_ERA
 
 
 class StoreEvents(msgspec.Struct, frozen=True, tag="events"):
     """The changes after revision `after`, up to and including `revision`.
 
-    All of them are revisions of `era`, which is 0 if unknown.
+    All of them are revisions of `era`.
     """
 
     changes: tuple[RevisedChange, ...]
     after: int
     revision: int
-    era: int = 0
+    era: int = NO_ERA
--- a/currantwharf/gateway/registry.py
+++ b/currantwharf/gateway/registry.py
@@ -16,7 +16,7 @@
     ServerRemoved,
     StoreChange,
 )
-from currantwharf.gateway.store_position import StorePosition
+from currantwharf.gateway.store_position import NO_ERA, StorePosition
 
 # Recent changes kept for peers; a peer further behind fetches a full snapshot.
 CHANGE_LOG_LENGTH = 4_000
@@ -51,7 +51,7 @@
         self.directory = directory
         self.config: GatewayConfig | None = None
         self.routes = RouteTable(())
-        self.era = 0
+        self.era = NO_ERA
         self.revision = 0
         self.has_seen_restore = False
         self.store_returned_at = -STORE_RETURN_WINDOW_S
@@ -127,19 +127,22 @@
         return StoreEvents(changes, revision, self.revision, self.era)
 
     def build_snapshot(self) -> StoreSnapshot:
-        """Return the whole view, for a peer."""
+        """Return the whole view, for a peer.
+
+        What is known from before a restore of the store has the lowest revision of all.
+        """
         changes = [
-            RevisedChange(revision, ServerChanged(entry))
+            RevisedChange(max(revision, 1), ServerChanged(entry))
             for entry, revision in self.directory.list_entries()
         ]
         changes += [
-            RevisedChange(revision, DataCentreChanged(name, is_out))
+            RevisedChange(max(revision, 1), DataCentreChanged(name, is_out))
             for name, (revision, is_out) in self._data_centre_states.items()
             if is_out
         ]
         if self.config is not None:
             config = ConfigChanged(self.config)
-            changes.append(RevisedChange(self._config_revision, config))
+            changes.append(RevisedChange(max(self._config_revision, 1), config))
         return StoreSnapshot(tuple(changes), self.revision, self.era)
 
     def apply_snapshot(
@@ -190,7 +193,7 @@
         A snapshot has to follow. Servers that it lacks may register again, as after an
         outage.
         """
-        position = self.position
+        known = self.position
         self.era, self.revision = era, 0
         self.directory.reset_revisions()
         self._data_centre_states = {
@@ -199,10 +202,10 @@
         self._config_revision = 0
         self._change_log.clear()
         self._change_log_start = 0
-        if position.revision:
+        if known.revision and known.era != NO_ERA:
             self.has_seen_restore = True
             self.store_returned_at = now
-            self.on_restored(position)
+            self.on_restored(known)
 
     def expire(self, now: float) -> list[str]:
         """Drop and return servers that did not register again in time."""
--- a/currantwharf/gateway/store_position.py
+++ b/currantwharf/gateway/store_position.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+NO_ERA = -1  # unknown: an earlier build, or a store that names no era
+
 
 class StorePosition(NamedTuple):
     """A revision of the store, and the era to which it belongs.
--- a/currantwharf/gateway/tests/test_registry.py
+++ b/currantwharf/gateway/tests/test_registry.py
@@ -4,6 +4,7 @@
 from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.server_directory import REREGISTRATION_WINDOW_S
 from currantwharf.gateway.store_change import DataCentreChanged, ServerRemoved
+from currantwharf.gateway.store_position import StorePosition
 from currantwharf.tests.gateway_builders import (
     config_change,
     make_chooser,
@@ -47,6 +48,30 @@
         self.registry.apply_change(removal("s1", 2), 4.6)
         self.assertEqual([r.boot for r in watch.list_recent_reports(4.7)], ["s1"])
 
+    def test_what_is_kept_over_a_restore_is_passed_on_to_a_new_instance(self):
+        """The copy lacks the newest configuration, so it has no revision there."""
+        self.registry.apply_snapshot(
+            StoreSnapshot((config_change(7, 40), server_change("s1", 41)), 51, era=1),
+            0.0,
+        )
+        copy = (config_change(5, 20), server_change("s1", 19))
+        self.registry.apply_snapshot(StoreSnapshot(copy, 30, era=2), 10.0)
+        chooser = make_chooser([])
+        other = Registry(chooser.directory, chooser)
+        other.apply_snapshot(self.registry.build_snapshot(), 11.0)
+        self.assertEqual(other.config.version, 7)
+        self.assertEqual(other.position, StorePosition(2, 30))
+        self.assertIsNotNone(chooser.directory.get("s1"))
+
+    def test_an_era_that_was_unknown_is_no_restore(self):
+        """The first view came from an earlier build, which names no era."""
+        self.registry.apply_snapshot(StoreSnapshot((config_change(7, 40),), 51), 0.0)
+        self.registry.apply_snapshot(
+            StoreSnapshot((config_change(7, 40),), 51, era=0), 1.0
+        )
+        self.assertEqual(self.registry.position, StorePosition(0, 51))
+        self.assertFalse(self.registry.has_seen_restore)
+
     def test_longest_prefix_of_the_host_wins(self):
         long = make_route()
         short = make_route(("a",))
--- a/currantwharf/gateway/tests/test_registry_task.py
+++ b/currantwharf/gateway/tests/test_registry_task.py
@@ -16,7 +16,7 @@
     RegistryTask,
 )
 from currantwharf.gateway.store_change import ServerRemoved
-from currantwharf.gateway.store_position import StorePosition
+from currantwharf.gateway.store_position import NO_ERA, StorePosition
 from currantwharf.tests.gateway_builders import (
     config_change,
     make_chooser,
@@ -77,7 +77,7 @@
         )
         self.task.start()
 
-    def answer_first_read(self, era=0):
+    def answer_first_read(self, era=NO_ERA):
         snapshot = StoreSnapshot((config_change(3, 5),), 10, era)
         self.store.answer("stale", snapshot)
 
@@ -247,14 +247,14 @@
 
     def test_watch_that_lags_behind_peers_is_cancelled(self):
         self.answer_first_read()
-        self.task.check_watch_lag(StorePosition(0, 10))
+        self.task.check_watch_lag(StorePosition(NO_ERA, 10))
         self.clock.advance(2.0)
-        self.task.check_watch_lag(StorePosition(0, 12))
+        self.task.check_watch_lag(StorePosition(NO_ERA, 12))
         self.clock.advance(0.5)
-        self.task.check_watch_lag(StorePosition(0, 12))
+        self.task.check_watch_lag(StorePosition(NO_ERA, 12))
         self.assertTrue(self.task.can_read)
         self.clock.advance(0.5)
-        self.task.check_watch_lag(StorePosition(0, 12))
+        self.task.check_watch_lag(StorePosition(NO_ERA, 12))
         self.assertFalse(self.task.can_read)
         self.assertEqual(self.backoffs, [True])
         self.clock.advance(1.0)
--- a/currantwharf/peers/hello.py
+++ b/currantwharf/peers/hello.py
@@ -5,6 +5,7 @@
 from currantwharf.documents.decode_errors import DECODE_ERRORS
 from currantwharf.gateway.changes import StoreEvents
 from currantwharf.gateway.limit_report import LimitReport
+from currantwharf.gateway.store_position import NO_ERA
 from currantwharf.policy.crash_report import CrashReport
 
 
@@ -44,7 +45,7 @@
     the sender's own first. `limits` tells what some servers have said of their limits,
     and `loss_count` how many losses the sender knows. `confirmed_age_s` is how long ago
     no change was missing at the sender, None if that is unknown. `era` is the era of
-    the store to which `revision` and `events` belong; 0 if unknown.
+    the store to which `revision` and `events` belong.
     """
 
     name: str
@@ -63,7 +64,7 @@
     limits: tuple[LimitReport, ...] = ()
     loss_count: int = 0
     confirmed_age_s: float | None = None
-    era: int = 0
+    era: int = NO_ERA
 
 
 _decoder = msgspec.msgpack.Decoder(Hello)
--- a/currantwharf/peers/peer_table.py
+++ b/currantwharf/peers/peer_table.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from dataclasses import dataclass, replace
 
-from currantwharf.gateway.store_position import StorePosition
+from currantwharf.gateway.store_position import NO_ERA, StorePosition
 from currantwharf.peers.hello import Hello, InstanceCount, MemberSummary
 from currantwharf.peers.instance_counts import COUNT_TTL_S, InstanceCounts
 from currantwharf.policy.rendezvous import highest, score
@@ -18,7 +18,7 @@
 INSTANCES_PER_HUB = 7  # instances of a data centre whose queries one hub runs
 STORE_FAILURE_TTL_S = 12.0  # time after a failure in which the store is not trusted
 MAX_MEMBERS_PER_HELLO = 4
-NO_POSITION = StorePosition(0, 0)
+NO_POSITION = StorePosition(NO_ERA, 0)
 HUB_BUDGET_RATIO = 0.5  # share of the fleet's budgets for instances that run queries
 
 
--- a/currantwharf/peers/peer_task.py
+++ b/currantwharf/peers/peer_task.py
@@ -16,7 +16,7 @@
 from currantwharf.gateway.limit_report import LimitReport
 from currantwharf.gateway.registry import NEVER, Registry
 from currantwharf.gateway.server_report import ServerReport
-from currantwharf.gateway.store_position import StorePosition
+from currantwharf.gateway.store_position import NO_ERA, StorePosition
 from currantwharf.http1 import HttpRequest, Responder, parse_count
 from currantwharf.peers.crash_sync import CRASHES_PATH, CrashSync
 from currantwharf.peers.hello import Hello, decode_hello, encode_hello
@@ -155,9 +155,12 @@
         _, _, query = request.target.partition(b"after=")
         value, _, era_value = query.partition(b"&era=")
         after = parse_count(value, MAX_REVISION) or 0
-        era = parse_count(era_value, MAX_REVISION) or 0
+        era = parse_count(era_value, MAX_REVISION)
         found: StoreEvents | StoreSnapshot | None = None
-        if after and self._resolve_era(era) == self._registry.era:
+        if (
+            after
+            and self._resolve_era(NO_ERA if era is None else era) == self._registry.era
+        ):
             found = self._registry.get_events_after(after)
         if found is None:
             found = self._registry.build_snapshot()
@@ -191,7 +194,7 @@
         # An earlier build that has missed a restore takes itself to be ahead. It would
         # reply to each reply.
         is_behind = position < old_position and bool(
-            hello.era or not self._registry.has_seen_restore
+            hello.era != NO_ERA or not self._registry.has_seen_restore
         )
         if is_new or hello.wants_reply or is_behind:
             self._send_hello(hello.host, position, hello.data_centre)
@@ -210,12 +213,12 @@
             registry.confirm(hello.revision, NEVER)
 
     def _resolve_era(self, era: int) -> int:
-        """Return the era of what an instance tells, which is 0 for earlier builds.
+        """Return the era of what an instance tells.
 
-        They do not notice when the store is restored. Until this instance has seen
+        Earlier builds name none. They do not notice when the store is restored. Until this instance has seen
         that happen, they are taken to know the same era.
         """
-        if era or self._registry.has_seen_restore:
+        if era != NO_ERA or self._registry.has_seen_restore:
             return era
         return self._registry.era
 
--- a/currantwharf/platform/store_client.py
+++ b/currantwharf/platform/store_client.py
@@ -10,6 +10,7 @@
 from currantwharf.documents.decode_errors import DECODE_ERRORS
 from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
 from currantwharf.gateway.metadata_store import StoreFailure
+from currantwharf.gateway.store_position import NO_ERA
 from currantwharf.http1 import (
     ConnectionFailure,
     ConnectionPool,
@@ -74,7 +75,7 @@
     async def _read_all(self, may_be_stale: bool) -> StoreSnapshot | StoreFailure:
         changes: list[RevisedChange] = []
         revision: int | None = None
-        first_era = 0
+        first_era = NO_ERA
         last_key = ""
         while True:
             query: dict[str, Any] = {"prefix": "", "allow-stale": int(may_be_stale)}
@@ -130,7 +131,8 @@
                 extra={"path": path, "why": str(exc)},
             )
             return StoreFailure.UNREADABLE
-        return document, parse_count(response.get(STORE_ERA), MAX_ERA) or 0
+        era = parse_count(response.get(STORE_ERA), MAX_ERA)
+        return document, NO_ERA if era is None else era
 
     def _get(
         self, target: bytes, timeout_s: float
