Keep what servers have written since the copy of a restored store

Cause: the copy says of a server that leaves that it is ready, holds servers that had left, and lacks those that started since. A read of it was taken for the newest that the servers had said.

Change: a registration bears the server's own count and the time of its start, so the later one of two is known whatever their revisions are. What is known stays unless the copy's is later. A server that had left is used only if it registers again, or if the store still holds it 5 s after, when a silent server's registration would have lapsed.

--- a/currantwharf/gateway/changes.py
+++ b/currantwharf/gateway/changes.py
@@ -17,12 +17,14 @@
     """All published entries, and the revision from which to watch for changes.
 
     `era` counts how often the store was restored from an older copy, which gives
-    revisions out again.
+    revisions out again. `doubtful` are the registrations of servers that had left, as
+    far as an instance knew, and that the copy still holds.
     """
 
     changes: tuple[RevisedChange, ...]
     revision: int
     era: int = NO_ERA
+    doubtful: tuple[RevisedChange, ...] = ()
 
 
 class StoreEvents(msgspec.Struct, frozen=True, tag="events"):
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -268,11 +268,12 @@
             log.warning("behind other instances", extra=fields)
             self.metrics.count_event("lags")
 
-    def _report_restore(self, position: StorePosition) -> None:
+    def _report_restore(self, known: StorePosition, left_count: int) -> None:
         fields = {
             "era": self.registry.era,
-            "known_era": position.era,
-            "known_revision": position.revision,
+            "known_era": known.era,
+            "known_revision": known.revision,
+            "servers_left": left_count,
         }
         log.warning("the store was restored from an older copy", extra=fields)
         self.metrics.count_event("store_restores")
--- a/currantwharf/gateway/registry.py
+++ b/currantwharf/gateway/registry.py
@@ -23,6 +23,9 @@
 # After the store returns from an outage, a removed server may register again for this
 # long: its registration may have lapsed only because the store was unavailable.
 STORE_RETURN_WINDOW_S = 3.0
+# How long a restored store may hold a server that has left. Its registration lapses
+# when it has been silent for three of its intervals, 3.6 s, and may be read 1 s later.
+COPY_DOUBT_S = 5.0
 NEVER = float("-inf")  # the time of what has not happened
 
 
@@ -39,7 +42,11 @@
     A store restored from an older copy gives revisions out again, in a later `era`. A
     snapshot of a later era is merged into the view, whose revisions then all count as
     older than those of the new era; changes of earlier eras are ignored.
-    `on_restored` is called with the position that was known before.
+    `on_restored` is called with the position that was known before, and the number of
+    servers that the store still holds although they have left. Where a server has
+    written a newer registration than the copy holds, that one stays. A server that
+    has left is not used because the copy still holds it, unless it is there after
+    `COPY_DOUBT_S`.
 
     A first read may be seconds old. `is_confirmed` is true once the store, or a peer
     that serves, has shown that no change is missing; `on_confirmed` is called then.
@@ -59,11 +66,14 @@
         self.confirmed_at = NEVER
         self.on_confirmed: Callable[[], None] = lambda: None
         self.on_restarted: Callable[[str], None] = lambda server: None
-        self.on_restored: Callable[[StorePosition], None] = lambda position: None
+        self.on_restored: Callable[[StorePosition, int], None] = lambda known, left: (
+            None
+        )
         self._chooser = chooser
         self._data_centre_states: dict[str, tuple[int, bool]] = {}
         self._config_revision = 0
         self._shards: frozenset[str] = frozenset()
+        self._doubtful: dict[str, tuple[RevisedChange, float]] = {}
         self._change_log: deque[RevisedChange] = deque(maxlen=CHANGE_LOG_LENGTH)
         self._change_log_start = 0
 
@@ -143,7 +153,8 @@
         if self.config is not None:
             config = ConfigChanged(self.config)
             changes.append(RevisedChange(max(self._config_revision, 1), config))
-        return StoreSnapshot(tuple(changes), self.revision, self.era)
+        doubtful = tuple(change for change, _ in self._doubtful.values())
+        return StoreSnapshot(tuple(changes), self.revision, self.era, doubtful)
 
     def apply_snapshot(
         self, snapshot: StoreSnapshot, now: float
@@ -155,11 +166,14 @@
         """
         if snapshot.era < self.era:
             return []
+        current = snapshot.changes
         if snapshot.era > self.era:
+            known = self.position
             self.restart(snapshot.era, now)
-        new_changes = [
-            change for change in snapshot.changes if self.apply_change(change, now)
-        ]
+            current = self._select_current(snapshot, now)
+            if known.revision and known.era != NO_ERA:
+                self.on_restored(known, len(self._doubtful))
+        new_changes = [change for change in current if self.apply_change(change, now)]
         present = {
             change.change.entry.server
             for change in snapshot.changes
@@ -205,12 +219,43 @@
         if known.revision and known.era != NO_ERA:
             self.has_seen_restore = True
             self.store_returned_at = now
-            self.on_restored(known)
 
     def expire(self, now: float) -> list[str]:
-        """Drop and return servers that did not register again in time."""
+        """Drop and return servers that did not register again in time.
+
+        Registrations that were doubtful and still stand count from now on.
+        """
+        for server, (change, until) in list(self._doubtful.items()):
+            if now >= until:
+                del self._doubtful[server]
+                self._apply(change.change, change.revision, now)
         return self.directory.expire(now)
 
+    def _select_current(
+        self, snapshot: StoreSnapshot, now: float
+    ) -> tuple[RevisedChange, ...]:
+        """Return what a restored store holds, without what is known to be outdated."""
+        self._doubtful = {
+            change.change.entry.server: (change, now + COPY_DOUBT_S)
+            for change in snapshot.changes + snapshot.doubtful
+            if isinstance(change.change, ServerChanged)
+            and (
+                change in snapshot.doubtful
+                or self.directory.has_left(change.change.entry)
+            )
+        }
+        for server in self._doubtful:
+            self.directory.mark_left(server, now)
+        return tuple(
+            change
+            for change in snapshot.changes
+            if not isinstance(change.change, ServerChanged)
+            or not (
+                change.change.entry.server in self._doubtful
+                or self.directory.holds(change.change.entry)
+            )
+        )
+
     def _mark_if_may_return(self, change: RevisedChange, now: float) -> RevisedChange:
         """Set `may_return` on a removal soon after a store outage."""
         store_change = change.change
@@ -240,6 +285,7 @@
 
     @_apply.register
     def _(self, change: ServerChanged, revision: int, now: float) -> bool:
+        self._doubtful.pop(change.entry.server, None)
         known = self.directory.find_used(change.entry.server)
         is_new = self.directory.put(change.entry, revision)
         if is_new:
@@ -251,6 +297,7 @@
 
     @_apply.register
     def _(self, change: ServerRemoved, revision: int, now: float) -> bool:
+        self._doubtful.pop(change.server, None)
         is_new = self.directory.remove(change.server, revision, now, change.may_return)
         if is_new and not change.may_return:
             self._chooser.crash_watch.on_ended(change.server, now)
--- a/currantwharf/gateway/server_directory.py
+++ b/currantwharf/gateway/server_directory.py
@@ -14,6 +14,7 @@
     removed_at: float
     kept_entry: ServerEntry | None
     may_return: bool
+    last_entry: ServerEntry | None
 
 
 class ServerDirectory:
@@ -55,10 +56,19 @@
         if kept is None:
             self._remove_from_service(server)
         self._entries.pop(server, None)
-        self._removed[server] = _Removal(revision, now, kept, may_return)
+        last = registered[1] if registered is not None else self._last_entry(server)
+        self._removed[server] = _Removal(revision, now, kept, may_return, last)
         self.change_count += 1
         return True
 
+    def mark_left(self, server: str, now: float) -> None:
+        """Use a server no more, until any later change of its registration."""
+        last = self.find_used(server) or self._last_entry(server)
+        self._remove_from_service(server)
+        self._entries.pop(server, None)
+        self._removed[server] = _Removal(0, now, None, False, last)
+        self.change_count += 1
+
     def expire(self, now: float) -> list[str]:
         """Drop and return the servers that did not register again in time."""
         expired = []
@@ -74,9 +84,7 @@
             self._entries_by_service.get(removal.kept_entry.service, {}).pop(
                 server, None
             )
-            self._removed[server] = _Removal(
-                removal.revision, removal.removed_at, None, False
-            )
+            self._removed[server] = replace(removal, kept_entry=None, may_return=False)
             self.change_count += 1
         return expired
 
@@ -107,6 +115,17 @@
         removal = self._removed.get(server)
         return removal.kept_entry if removal is not None else None
 
+    def holds(self, entry: ServerEntry) -> bool:
+        """Return whether this registration is known, or one that was written later."""
+        known = self.get(entry.server)
+        return known is not None and (entry == known or entry.written < known.written)
+
+    def has_left(self, entry: ServerEntry) -> bool:
+        """Return whether a server was removed after it wrote this registration."""
+        last = self._last_entry(entry.server)
+        is_used = self.find_used(entry.server) is not None
+        return last is not None and not is_used and entry.written <= last.written
+
     def is_return_pending(self, server: str) -> bool:
         """Return whether a removed server is kept in case it registers again."""
         removal = self._removed.get(server)
@@ -127,6 +146,10 @@
         removal = self._removed.get(server)
         return removal.revision if removal is not None else 0
 
+    def _last_entry(self, server: str) -> ServerEntry | None:
+        removal = self._removed.get(server)
+        return removal.last_entry if removal is not None else None
+
     def _remove_from_service(self, server: str) -> None:
         entry = self.find_used(server)
         if entry:
--- a/currantwharf/gateway/server_entry.py
+++ b/currantwharf/gateway/server_entry.py
@@ -11,7 +11,8 @@
     true once the server is to get no new requests. `warm_up_s` is how long the server
     stays cold after the registration was written, in seconds. `started_ms` is the Unix
     time in milliseconds at which the server process started, 0 if unknown: a server may
-    start again under the id that it had.
+    start again under the id that it had. `sequence` is the server's own count of its
+    registrations since then.
     """
 
     server: str
@@ -22,12 +23,18 @@
     leaving: bool = False
     warm_up_s: float = 0.0
     started_ms: int = 0
+    sequence: int = 0
 
     @property
     def boot(self) -> str:
         """The id of this start of the server process."""
         return f"{self.server}/{self.started_ms}" if self.started_ms else self.server
 
+    @property
+    def written(self) -> tuple[int, int]:
+        """The server's own order of its registrations."""
+        return self.started_ms, self.sequence
+
     def is_restart_of(self, other: "ServerEntry") -> bool:
         """Return whether `other` is an earlier start of the same server."""
         return self.server == other.server and self.started_ms > other.started_ms > 0
--- a/currantwharf/gateway/tests/test_registry.py
+++ b/currantwharf/gateway/tests/test_registry.py
@@ -1,7 +1,7 @@
 import unittest
 
 from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
-from currantwharf.gateway.registry import Registry
+from currantwharf.gateway.registry import COPY_DOUBT_S, Registry
 from currantwharf.gateway.server_directory import REREGISTRATION_WINDOW_S
 from currantwharf.gateway.store_change import DataCentreChanged, ServerRemoved
 from currantwharf.gateway.store_position import StorePosition
@@ -63,6 +63,73 @@
         self.assertEqual(other.position, StorePosition(2, 30))
         self.assertIsNotNone(chooser.directory.get("s1"))
 
+    def restore(self, *changes, revision=30, now=10.0, doubtful=()):
+        snapshot = StoreSnapshot(tuple(changes), revision, 2, tuple(doubtful))
+        return self.registry.apply_snapshot(snapshot, now)
+
+    def read_first_era(self, *changes):
+        self.registry.apply_snapshot(StoreSnapshot(changes, 51, era=1), 0.0)
+
+    def test_server_that_the_copy_lacks_is_kept_until_it_could_be_back(self):
+        self.read_first_era(server_change("back", 41), server_change("gone", 42))
+        self.restore()
+        self.assertEqual(self.server_ids(), {"back", "gone"})
+        self.registry.apply_change(server_change("back", 31), 11.0)
+        self.registry.expire(10.0 + REREGISTRATION_WINDOW_S + 0.1)
+        self.assertEqual(self.server_ids(), {"back"})
+
+    def test_server_that_leaves_is_not_used_because_the_copy_says_it_does_not(self):
+        self.read_first_era(server_change("s1", 41, leaving=True, sequence=7))
+        self.restore(server_change("s1", 20, sequence=3))
+        self.assertTrue(self.registry.directory.get("s1").leaving)
+        self.registry.apply_change(removal("s1", 33), 14.0)
+        self.assertEqual(self.server_ids(), set())
+
+    def test_server_that_had_left_is_not_used_because_the_copy_holds_it(self):
+        """Its address may be another server's by now; its registration lapses."""
+        self.registry.apply_change(server_change("s1", 20, sequence=3), 0.0)
+        self.registry.apply_change(removal("s1", 45), 0.0)
+        self.restore(server_change("s1", 20, sequence=3))
+        self.assertEqual(self.server_ids(), set())
+        self.registry.apply_change(removal("s1", 35), 10.0 + COPY_DOUBT_S - 0.5)
+        self.registry.expire(10.0 + COPY_DOUBT_S)
+        self.assertEqual(self.server_ids(), set())
+
+    def test_server_that_the_store_still_holds_after_a_while_is_used(self):
+        self.registry.apply_change(server_change("s1", 20, sequence=3), 0.0)
+        self.registry.apply_change(removal("s1", 45), 0.0)
+        self.restore(server_change("s1", 20, sequence=3))
+        self.registry.expire(10.0 + COPY_DOUBT_S - 0.1)
+        self.assertEqual(self.server_ids(), set())
+        self.registry.expire(10.0 + COPY_DOUBT_S)
+        self.assertEqual(self.server_ids(), {"s1"})
+
+    def test_server_that_registers_again_after_a_restore_is_used_at_once(self):
+        self.registry.apply_change(server_change("s1", 20, sequence=3), 0.0)
+        self.registry.apply_change(removal("s1", 45), 0.0)
+        self.restore(server_change("s1", 20, sequence=3))
+        self.registry.apply_change(server_change("s1", 31, sequence=8), 11.0)
+        self.assertEqual(self.server_ids(), {"s1"})
+        self.restore(server_change("s1", 29, sequence=9), now=12.0)
+        self.assertEqual(self.server_ids(), {"s1"})
+
+    def test_instance_that_missed_the_end_of_a_server_learns_of_it_with_a_restore(self):
+        self.registry.apply_change(server_change("s1", 20, sequence=3), 0.0)
+        self.registry.apply_change(removal("s1", 45), 0.0)
+        self.restore(server_change("s1", 20, sequence=3))
+        chooser = make_chooser([])
+        other = Registry(chooser.directory, chooser)
+        first = StoreSnapshot((server_change("s1", 20, sequence=3),), 44, era=1)
+        other.apply_snapshot(first, 0.0)
+        other.apply_snapshot(self.registry.build_snapshot(), 11.0)
+        self.assertEqual(chooser.directory.get_servers("camphor"), {})
+
+    def test_servers_that_the_copy_holds_unchanged_are_no_news(self):
+        """A registration of old says how long the server was cold then."""
+        change = server_change("s1", 20, sequence=3, warm_up_s=3.0)
+        self.read_first_era(change)
+        self.assertEqual(self.restore(change), [])
+
     def test_an_era_that_was_unknown_is_no_restore(self):
         """The first view came from an earlier build, which names no era."""
         self.registry.apply_snapshot(StoreSnapshot((config_change(7, 40),), 51), 0.0)
--- a/currantwharf/peers/peer_task.py
+++ b/currantwharf/peers/peer_task.py
@@ -156,11 +156,9 @@
         value, _, era_value = query.partition(b"&era=")
         after = parse_count(value, MAX_REVISION) or 0
         era = parse_count(era_value, MAX_REVISION)
+        era = self._resolve_era(NO_ERA if era is None else era)
         found: StoreEvents | StoreSnapshot | None = None
-        if (
-            after
-            and self._resolve_era(NO_ERA if era is None else era) == self._registry.era
-        ):
+        if after and era == self._registry.era:
             found = self._registry.get_events_after(after)
         if found is None:
             found = self._registry.build_snapshot()
@@ -215,8 +213,8 @@
     def _resolve_era(self, era: int) -> int:
         """Return the era of what an instance tells.
 
-        Earlier builds name none. They do not notice when the store is restored. Until this instance has seen
-        that happen, they are taken to know the same era.
+        Earlier builds name none, and do not notice when the store is restored. Until
+        this instance has seen that happen, they are taken to know the same era.
         """
         if era != NO_ERA or self._registry.has_seen_restore:
             return era
--- a/currantwharf/platform/decode_store.py
+++ b/currantwharf/platform/decode_store.py
@@ -32,6 +32,7 @@
 IS_LEAVING_BY_SERVER_STATE = {"ready": False, "draining": True}
 IS_IDEMPOTENT_BY_ROUTE_TYPE = {"idempotent": True, "non_idempotent": False}
 
+MAX_SEQUENCE = 2**53  # a higher one counts as this one
 MAX_STARTED_MS = 2**53  # far in the future; a later start counts as this one
 MAX_WARM_UP_S = 600.0  # a longer warm-up counts as this one
 
@@ -111,6 +112,7 @@
             IS_LEAVING_BY_SERVER_STATE[document.state],
             min(max(document.warmup_left_ms / 1000, 0.0), MAX_WARM_UP_S),
             min(max(document.born, 0), MAX_STARTED_MS),
+            min(max(document.sequence, 0), MAX_SEQUENCE),
         )
     except (*DECODE_ERRORS, BadAddressError, UnusableItem) as exc:
         fields = {"server": server, "revision": item.revision, "why": str(exc)}
--- a/currantwharf/platform/store_documents.py
+++ b/currantwharf/platform/store_documents.py
@@ -12,6 +12,7 @@
     slots: int
     state: str
     warmup_left_ms: float = 0.0
+    sequence: int = 0
     born: int = 0  # Unix time in milliseconds of the start of the server process
 
 
