Keep data centres out of service over a restore of the store

What callers saw: nothing yet; the rule at stake is that a data centre that is taken out gets no requests. Cause: a copy from before the operator took it out lacks that, and a read of it put the data centre back in service at once. The other way round, a copy could take one out that the operator had put back.

Change: a state that was changed after the copy is kept for 3 s, in which the operator writes it again; then the store's holds. A removal whose revision is higher than the known one is new, whatever the copy is, and counts at once. Its repetition by the operator is a change, so that it reaches the other instances too.

--- a/currantwharf/gateway/registry.py
+++ b/currantwharf/gateway/registry.py
@@ -26,6 +26,8 @@
 # How long a restored store may hold a server that has left. Its registration lapses
 # when it has been silent for three of its intervals, 3.6 s, and may be read 1 s later.
 COPY_DOUBT_S = 5.0
+# Time in which the operator and the servers have written again what a restore lost.
+REWRITE_S = 3.0
 NEVER = float("-inf")  # the time of what has not happened
 
 
@@ -46,7 +48,8 @@
     servers that the store still holds although they have left. Where a server has
     written a newer registration than the copy holds, that one stays. A server that
     has left is not used because the copy still holds it, unless it is there after
-    `COPY_DOUBT_S`.
+    `COPY_DOUBT_S`. A data centre that was taken out of service, or back, since the
+    copy keeps its state for `REWRITE_S`, in which the operator writes it again.
 
     A first read may be seconds old. `is_confirmed` is true once the store, or a peer
     that serves, has shown that no change is missing; `on_confirmed` is called then.
@@ -74,6 +77,7 @@
         self._config_revision = 0
         self._shards: frozenset[str] = frozenset()
         self._doubtful: dict[str, tuple[RevisedChange, float]] = {}
+        self._doubtful_states: dict[str, tuple[DataCentreChanged, float]] = {}
         self._change_log: deque[RevisedChange] = deque(maxlen=CHANGE_LOG_LENGTH)
         self._change_log_start = 0
 
@@ -168,8 +172,9 @@
             return []
         current = snapshot.changes
         if snapshot.era > self.era:
-            known = self.position
+            known, states = self.position, self._data_centre_states
             self.restart(snapshot.era, now)
+            self._doubt_states(snapshot, states, now)
             current = self._select_current(snapshot, now)
             if known.revision and known.era != NO_ERA:
                 self.on_restored(known, len(self._doubtful))
@@ -190,7 +195,10 @@
             if isinstance(change.change, DataCentreChanged)
         }
         for name, (revision, is_out) in list(self._data_centre_states.items()):
-            if is_out and name not in out_of_service and revision <= snapshot.revision:
+            is_missing = is_out and name not in out_of_service
+            if name in self._doubtful_states:
+                continue
+            if is_missing and revision <= snapshot.revision:
                 restored = RevisedChange(
                     snapshot.revision, DataCentreChanged(name, False)
                 )
@@ -229,6 +237,9 @@
             if now >= until:
                 del self._doubtful[server]
                 self._apply(change.change, change.revision, now)
+        for state, until in list(self._doubtful_states.values()):
+            if now >= until:
+                self._set_data_centre_state(state, self.revision)
         return self.directory.expire(now)
 
     def _select_current(
@@ -249,13 +260,41 @@
         return tuple(
             change
             for change in snapshot.changes
-            if not isinstance(change.change, ServerChanged)
-            or not (
-                change.change.entry.server in self._doubtful
-                or self.directory.holds(change.change.entry)
-            )
+            if not self._is_outdated(change.change)
         )
 
+    def _is_outdated(self, change: StoreChange) -> bool:
+        """Return whether a restored store holds less than what is known."""
+        if isinstance(change, ServerChanged):
+            server = change.entry.server
+            return server in self._doubtful or self.directory.holds(change.entry)
+        if isinstance(change, DataCentreChanged):
+            return change.data_centre in self._doubtful_states
+        return False
+
+    def _doubt_states(
+        self,
+        snapshot: StoreSnapshot,
+        states: dict[str, tuple[int, bool]],
+        now: float,
+    ) -> None:
+        """Find the data centres whose states were changed after the copy.
+
+        `states` are those that were known before the restore.
+        """
+        listed = {
+            change.change.data_centre: change.revision
+            for change in snapshot.changes
+            if isinstance(change.change, DataCentreChanged)
+        }
+        until = now + REWRITE_S
+        self._doubtful_states = {
+            name: (DataCentreChanged(name, not is_out), until)
+            for name, (revision, is_out) in states.items()
+            if (is_out and name not in listed)
+            or (not is_out and listed.get(name, revision + 1) <= revision)
+        }
+
     def _mark_if_may_return(self, change: RevisedChange, now: float) -> RevisedChange:
         """Set `may_return` on a removal soon after a store outage."""
         store_change = change.change
@@ -308,8 +347,13 @@
         known = self._data_centre_states.get(change.data_centre)
         if known is not None and revision <= known[0]:
             return False
+        return self._set_data_centre_state(change, revision)
+
+    def _set_data_centre_state(self, change: DataCentreChanged, revision: int) -> bool:
+        known = self._data_centre_states.get(change.data_centre)
+        was_doubtful = self._doubtful_states.pop(change.data_centre, None) is not None
         self._data_centre_states[change.data_centre] = (revision, change.is_out)
         self._chooser.excluded_data_centres = {
             name for name, (_, is_out) in self._data_centre_states.items() if is_out
         }
-        return known is None or known[1] != change.is_out
+        return known is None or known[1] != change.is_out or was_doubtful
--- a/currantwharf/gateway/tests/test_registry.py
+++ b/currantwharf/gateway/tests/test_registry.py
@@ -1,7 +1,7 @@
 import unittest
 
 from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
-from currantwharf.gateway.registry import COPY_DOUBT_S, Registry
+from currantwharf.gateway.registry import COPY_DOUBT_S, REWRITE_S, Registry
 from currantwharf.gateway.server_directory import REREGISTRATION_WINDOW_S
 from currantwharf.gateway.store_change import DataCentreChanged, ServerRemoved
 from currantwharf.gateway.store_position import StorePosition
@@ -130,6 +130,48 @@
         self.read_first_era(change)
         self.assertEqual(self.restore(change), [])
 
+    def is_out(self):
+        return "taipei-a" in self.chooser.excluded_data_centres
+
+    def data_centre_change(self, revision, is_out):
+        return RevisedChange(revision, DataCentreChanged("taipei-a", is_out))
+
+    def test_data_centre_taken_out_after_the_copy_stays_out_until_that_is_repeated(
+        self,
+    ):
+        self.read_first_era(self.data_centre_change(45, True))
+        self.restore()
+        self.assertTrue(self.is_out())
+        repeated = StoreEvents((self.data_centre_change(32, True),), 30, 32, era=2)
+        self.assertEqual(
+            self.registry.apply_events(repeated, 11.0), list(repeated.changes)
+        )
+        self.registry.expire(10.0 + REWRITE_S + 1.0)
+        self.assertTrue(self.is_out())
+
+    def test_data_centre_whose_removal_is_not_repeated_is_in_service_again(self):
+        self.read_first_era(self.data_centre_change(45, True))
+        self.restore()
+        self.registry.expire(10.0 + REWRITE_S - 0.1)
+        self.assertTrue(self.is_out())
+        self.registry.expire(10.0 + REWRITE_S)
+        self.assertFalse(self.is_out())
+
+    def test_data_centre_back_in_service_is_not_taken_out_by_the_copy(self):
+        self.registry.apply_change(self.data_centre_change(20, True), 0.0)
+        self.registry.apply_change(self.data_centre_change(45, False), 1.0)
+        self.restore(self.data_centre_change(20, True))
+        self.assertFalse(self.is_out())
+        self.registry.apply_change(self.data_centre_change(33, False), 11.0)
+        self.registry.expire(10.0 + REWRITE_S)
+        self.assertFalse(self.is_out())
+
+    def test_data_centre_taken_out_after_a_restore_is_out_at_once(self):
+        self.registry.apply_change(self.data_centre_change(20, True), 0.0)
+        self.registry.apply_change(self.data_centre_change(25, False), 1.0)
+        self.restore(self.data_centre_change(29, True))
+        self.assertTrue(self.is_out())
+
     def test_an_era_that_was_unknown_is_no_restore(self):
         """The first view came from an earlier build, which names no era."""
         self.registry.apply_snapshot(StoreSnapshot((config_change(7, 40),), 51), 0.0)
