--- a/currantwharf/peers/tests/test_peer_task.py
+++ b/currantwharf/peers/tests/test_peer_task.py
@@ -1,8 +1,6 @@
 import random
 import unittest
 
-from twisted.internet.task import Clock
-
 from currantwharf.gateway.changes import StoreEvents, StoreSnapshot
 from currantwharf.gateway.crash_watch import CrashWatch
 from currantwharf.gateway.instance_info import InstanceInfo
@@ -18,6 +16,7 @@
     REMOTE_FETCH_DELAY_S,
     PeerTask,
 )
+from currantwharf.tests.fake_network import FakeNetwork
 from currantwharf.tests.gateway_builders import (
     config_change,
     make_chooser,
@@ -27,35 +26,6 @@
 GOSSIP_PORT, FETCH_PORT = 7000, 7001
 
 
-class FakeNetwork(Clock):
-    """Network and clock shared by tasks; no datagram passes from or to a cut host."""
-
-    def __init__(self):
-        super().__init__()
-        self.tasks = {}
-        self.cut_hosts = set()
-        self.sent_count = 0
-        self.now = self.seconds
-
-    def listenUDP(self, port, task, host):  # noqa: N802
-        self.tasks[host] = task
-        task.transport = FakeTransport(self, host)
-
-
-class FakeTransport:
-    def __init__(self, network, host):
-        self.network = network
-        self.host = host
-
-    def write(self, data, address):
-        self.network.sent_count += 1
-        target = self.network.tasks.get(address[0])
-        if target is None or {self.host, address[0]} & self.network.cut_hosts:
-            return
-        sender = (self.host, address[1])
-        self.network.callLater(0.001, target.datagramReceived, data, sender)
-
-
 class PeerTaskTests(unittest.TestCase):
     def setUp(self):
         self.network = FakeNetwork()
