Restore the store from older copies in the soak

The stand-in store can be restored, servers count their registrations, and the operator and the servers write again what was lost, up to 2 s later. At the end the soak publishes a route and checks that every gateway serves it after 4 s.

--- a/currantwharf/platform/tests/test_end_to_end.py
+++ b/currantwharf/platform/tests/test_end_to_end.py
@@ -249,12 +249,6 @@
             )
         )
 
-    def restore_store(self, copy):
-        """Restore the store; the operator writes the newest configuration again."""
-        self.site.store.restore(copy)
-        self.site.version -= 1
-        self.site.publish()
-
     def test_change_after_the_store_was_restored_is_in_force(self):
         """Its revision was given out before, and both instances know a higher one."""
         copy = self.site.store.take_copy()
@@ -262,7 +256,7 @@
             self.site.publish()
         version = self.site.version
         run_until(lambda: self.are_at(version))
-        self.restore_store(copy)
+        self.site.store.restore(copy)
         self.site.publish()
         self.assertLess(
             self.site.store.revision, self.instances[0].gateway.registry.revision
--- a/currantwharf/standin/platform_site.py
+++ b/currantwharf/standin/platform_site.py
@@ -102,11 +102,19 @@
             for name in (*self.shard_names(), ORDERS_SERVICE)
         ]
         document = {"version": self.version, "routes": routes, "services": services}
+        self._written["op/config"] = {**document, **changes}
         self.store.put("op/config", {**document, **changes})
 
+    def publish_route(self, prefix: str) -> None:
+        """Publish the next version with one more route, which is like the lookups'."""
+        routes = list(self._written["op/config"]["routes"])
+        routes.append({**routes[0], "name": f"lookup {prefix}", "prefix": prefix})
+        self.publish(routes=routes)
+
     def register(self, server: str, state: str = "ready", **changes: object) -> None:
         """Write the store entry of a server, with the fields in `changes`."""
         service, data_centre, address = self._entries[server]
+        self._sequences[server] = self._sequences.get(server, 0) + 1
         entry = {
             "service": service,
             "address": address,
@@ -115,11 +123,20 @@
             "slots": 2,
             "state": state,
             "warmup-left-ms": 0,
-            "sequence": 1,
+            "sequence": self._sequences[server],
             "born": self._started_ms[server],
         }
+        self._written[f"servers/{server}"] = {**entry, **changes}
         self.store.put(f"servers/{server}", {**entry, **changes})
 
+    def write_again(self) -> None:
+        """Write what the operator and the servers wrote last, after a restore."""
+        for key, value in list(self._written.items()):
+            if key.startswith("servers/"):
+                self.register(key.removeprefix("servers/"), str(value["state"]))
+            else:
+                self.store.put(key, value)
+
     def write_settings(
         self, folder: Path, number: int, first_port: int, network: str = "127.0.0"
     ) -> Path:
@@ -150,6 +167,8 @@
         return path
 
     _entries: dict[str, tuple[str, str, str]] = field(default_factory=dict)
+    _sequences: dict[str, int] = field(default_factory=dict)
+    _written: dict[str, dict[str, Any]] = field(default_factory=dict)
     _started_ms: dict[str, int] = field(default_factory=dict)
 
     def _start_server(self, service: str, replica: int) -> None:
--- a/currantwharf/tests/soak/soak.py
+++ b/currantwharf/tests/soak/soak.py
@@ -29,6 +29,9 @@
 RECOVERY_S = 12.0  # time allowed after the last fault until requests are served
 MIN_SERVED_RATIO = 0.95  # of the requests after the recovery
 DRAIN_S = 4.0  # a server that left longer ago must receive no request
+COPY_RATIO = 0.3  # of the faults after which a copy of the store is taken
+MAX_REWRITE_S = 2.0  # after a restore, until what it lost is written again
+CONFIG_APPLY_S = 4.0  # after which a new configuration is in force at each gateway
 RESTART_CHECK_S = 3.0  # a restarted gateway serves for most of this time
 
 
@@ -43,6 +46,7 @@
         replicas = 3 if gateways >= MIN_GATEWAYS_WITH_HUBS else 2
         self.site = PlatformSite(reactor, replicas=replicas, proxied=self.add_proxy)
         self.site.start()
+        self.store_copy = self.site.store.take_copy()
         self.oracle = SoakOracle(self.site)
         self.first_port = first_port
         self.events = []
@@ -73,11 +77,14 @@
             self.inject_fault()
             run_for(self.rng.uniform(0.1, 1.2))
             self.restart_exited()
+            if self.rng.random() < COPY_RATIO:
+                self.store_copy = self.site.store.take_copy()
         self.check_leaving()
         self.remove_faults()
         run_for(RECOVERY_S)
         self.check_recovery()
         self.check_leaving_in_calm()
+        self.check_configuration()
         self.is_ending = True
         run_for(1.5)
         self.oracle.on_end()
@@ -148,6 +155,10 @@
             self.site.store.forget_history()
         elif kind == "config":
             self.site.publish()
+        elif kind == "restore":
+            self.site.store.restore(self.store_copy)
+            delay_s = self.rng.uniform(0.0, MAX_REWRITE_S)
+            reactor.callLater(delay_s, self.site.write_again)
         elif (
             kind == "leave"
             and server.startswith(f"i-{ORDERS_SERVICE}")
@@ -155,7 +166,16 @@
         ):
             self.site.register(server, state="draining")
             self.left_at_by_server[server] = now
-        if kind in ("proxy", "store", "reset", "forget", "kill", "pause", "term"):
+        if kind in (
+            "proxy",
+            "store",
+            "restore",
+            "reset",
+            "forget",
+            "kill",
+            "pause",
+            "term",
+        ):
             # A fault may delay the registry change, so these servers are not checked.
             self.left_at_by_server = dict.fromkeys(self.left_at_by_server)
 
@@ -203,6 +223,28 @@
         run_for(RESTART_CHECK_S)
         self.check_leaving()
 
+    def check_configuration(self):
+        """Publish a route and check that every gateway serves it in time."""
+        self.site.publish_route("/added/")
+        run_for(CONFIG_APPLY_S)
+        answers = {}
+        for gateway in self.gateways:
+            caller = Caller(self, 0)
+            caller.connect(gateway)
+            caller.send_request(
+                "lookup",
+                lambda answer, host=gateway.host: answers.update({host: answer}),
+                prefix="/added/",
+            )
+        run_for(2.0)
+        for gateway in self.gateways:
+            answer = answers.get(gateway.host)
+            if answer is None or answer.status != 200:
+                status = answer and answer.status
+                self.oracle.violations.append(
+                    f"{gateway.host}: answered {status} on a new route"
+                )
+
     def check_leaving(self):
         """Check that no server that left without faults received requests later."""
         for name in list_late_servers(self.left_at_by_server, self.site.servers):
@@ -234,6 +276,7 @@
     "history",
     "config",
     "leave",
+    "restore",
 )
 
 
@@ -257,7 +300,11 @@
             self.pool = None
         reactor.callLater(PAUSE_S, self.send_next)
 
-    def send_request(self, kind, on_answer):
+    def connect(self, gateway):
+        address = (gateway.host, self.soak.first_port)
+        self.pool = ConnectionPool(reactor, reactor.seconds, address, 1)
+
+    def send_request(self, kind, on_answer, prefix=None):
         soak = self.soak
         soak.sent += 1
         request_id = f"{kind}-{soak.sent}"
@@ -267,7 +314,7 @@
             soak.oracle.orders[request_id] = None
         data = encode_request(
             b"GET" if kind == "lookup" else b"POST",
-            f"/{kind}/{request_id}".encode(),
+            f"{prefix or f'/{kind}/'}{request_id}".encode(),
             (
                 (b"host", b"search.example"),
                 (b"x-request-id", request_id.encode()),
@@ -284,9 +331,7 @@
             on_answer(answer)
 
         if self.pool is None:
-            host = soak.rng.choice(soak.gateways).host
-            address = (host, soak.first_port)
-            self.pool = ConnectionPool(reactor, reactor.seconds, address, 1)
+            self.connect(soak.rng.choice(soak.gateways))
         exchange = Exchange(
             lambda now: data, lambda answer: True, reactor.seconds() + 3, False, done
         )
