Send lookups that crash their servers at the end of the soak

Each gateway is sent the same lookup four times, 1.5 s apart; in the last round it must reach no server any more.

--- a/currantwharf/standin/shard_server.py
+++ b/currantwharf/standin/shard_server.py
@@ -35,6 +35,7 @@
         self.received_ids: list[str] = []
         self.received_times: list[float] = []
         self.runs: list[str] = []
+        self.crash_count = 0
         self.on_crash: Callable[[], None] = lambda: None
         self._reactor = reactor
         self._slots = slots
@@ -70,6 +71,7 @@
             if self.faults.crashed_by and self.faults.crashed_by in request.target:
                 self._waiting.clear()
                 self._running_count = 0
+                self.crash_count += 1
                 self.on_crash()
                 return
             work_s = self._work_s * self.faults.slow
--- a/currantwharf/tests/soak/soak.py
+++ b/currantwharf/tests/soak/soak.py
@@ -30,6 +30,8 @@
 MIN_SERVED_RATIO = 0.95  # of the requests after the recovery
 DRAIN_S = 4.0  # a server that left longer ago must receive no request
 COPY_RATIO = 0.3  # of the faults after which a copy of the store is taken
+CRASH_ROUNDS = 4  # in which a lookup that crashes its servers is sent
+CRASH_INTERVAL_S = 1.5
 MAX_REWRITE_S = 2.0  # after a restore, until what it lost is written again
 CONFIG_APPLY_S = 4.0  # after which a new configuration is in force at each gateway
 RESTART_CHECK_S = 3.0  # a restarted gateway serves for most of this time
@@ -85,6 +87,7 @@
         self.check_recovery()
         self.check_leaving_in_calm()
         self.check_configuration()
+        self.check_crashing_request()
         self.is_ending = True
         run_for(1.5)
         self.oracle.on_end()
@@ -245,6 +248,27 @@
                     f"{gateway.host}: answered {status} on a new route"
                 )
 
+    def check_crashing_request(self):
+        """Check that a lookup which crashes its servers reaches no more in the end."""
+        for server in self.site.servers.values():
+            server.faults.crashed_by = b"/lookup/crash"
+        for round_number in range(CRASH_ROUNDS):
+            if round_number == CRASH_ROUNDS - 1:
+                before = self.count_runs_of_crashing_requests()
+            for gateway in self.gateways:
+                caller = Caller(self, 0)
+                caller.connect(gateway)
+                caller.send_request("lookup", lambda answer: None, path="/lookup/crash")
+            run_for(CRASH_INTERVAL_S)
+        more = self.count_runs_of_crashing_requests() - before
+        if more:
+            self.oracle.violations.append(
+                f"a lookup that had crashed servers reached {more} more"
+            )
+
+    def count_runs_of_crashing_requests(self):
+        return sum(server.crash_count for server in self.site.servers.values())
+
     def check_leaving(self):
         """Check that no server that left without faults received requests later."""
         for name in list_late_servers(self.left_at_by_server, self.site.servers):
@@ -304,7 +328,7 @@
         address = (gateway.host, self.soak.first_port)
         self.pool = ConnectionPool(reactor, reactor.seconds, address, 1)
 
-    def send_request(self, kind, on_answer, prefix=None):
+    def send_request(self, kind, on_answer, prefix=None, path=None):
         soak = self.soak
         soak.sent += 1
         request_id = f"{kind}-{soak.sent}"
@@ -314,7 +338,7 @@
             soak.oracle.orders[request_id] = None
         data = encode_request(
             b"GET" if kind == "lookup" else b"POST",
-            f"{prefix or f'/{kind}/'}{request_id}".encode(),
+            (path or f"{prefix or f'/{kind}/'}{request_id}").encode(),
             (
                 (b"host", b"search.example"),
                 (b"x-request-id", request_id.encode()),
