Move the doubts about a restored copy into a module of their own

registry.py keeps the merge; which entries of a restored store count, and when, is decided in copy_doubts.py, which needs no store and no clock. No change of behaviour.

--- a/currantwharf/gateway/registry.py
+++ b/currantwharf/gateway/registry.py
@@ -5,6 +5,7 @@
 from functools import singledispatchmethod
 
 from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
+from currantwharf.gateway.copy_doubts import CopyDoubts
 from currantwharf.gateway.gateway_config import GatewayConfig
 from currantwharf.gateway.route_table import RouteTable
 from currantwharf.gateway.server_choice import ServerChooser
@@ -23,11 +24,6 @@
 # After the store returns from an outage, a removed server may register again for this
 # long: its registration may have lapsed only because the store was unavailable.
 STORE_RETURN_WINDOW_S = 3.0
-# How long a restored store may hold a server that has left. Its registration lapses
-# when it has been silent for three of its intervals, 3.6 s, and may be read 1 s later.
-COPY_DOUBT_S = 5.0
-# Time in which the operator and the servers have written again what a restore lost.
-REWRITE_S = 3.0
 NEVER = float("-inf")  # the time of what has not happened
 
 
@@ -43,13 +39,10 @@
 
     A store restored from an older copy gives revisions out again, in a later `era`. A
     snapshot of a later era is merged into the view, whose revisions then all count as
-    older than those of the new era; changes of earlier eras are ignored.
-    `on_restored` is called with the position that was known before, and the number of
-    servers that the store still holds although they have left. Where a server has
-    written a newer registration than the copy holds, that one stays. A server that
-    has left is not used because the copy still holds it, unless it is there after
-    `COPY_DOUBT_S`. A data centre that was taken out of service, or back, since the
-    copy keeps its state for `REWRITE_S`, in which the operator writes it again.
+    older than those of the new era; changes of earlier eras are ignored. What is known
+    to have happened after the copy was made goes before what the copy says, as
+    `CopyDoubts` decides. `on_restored` is called with the position that was known
+    before, and the number of servers that the store still holds although they left.
 
     A first read may be seconds old. `is_confirmed` is true once the store, or a peer
     that serves, has shown that no change is missing; `on_confirmed` is called then.
@@ -69,15 +62,12 @@
         self.confirmed_at = NEVER
         self.on_confirmed: Callable[[], None] = lambda: None
         self.on_restarted: Callable[[str], None] = lambda server: None
-        self.on_restored: Callable[[StorePosition, int], None] = lambda known, left: (
-            None
-        )
+        self.on_restored: Callable[[StorePosition, int], None] = lambda *_: None
         self._chooser = chooser
         self._data_centre_states: dict[str, tuple[int, bool]] = {}
         self._config_revision = 0
         self._shards: frozenset[str] = frozenset()
-        self._doubtful: dict[str, tuple[RevisedChange, float]] = {}
-        self._doubtful_states: dict[str, tuple[DataCentreChanged, float]] = {}
+        self._doubts = CopyDoubts(directory)
         self._change_log: deque[RevisedChange] = deque(maxlen=CHANGE_LOG_LENGTH)
         self._change_log_start = 0
 
@@ -157,7 +147,7 @@
         if self.config is not None:
             config = ConfigChanged(self.config)
             changes.append(RevisedChange(max(self._config_revision, 1), config))
-        doubtful = tuple(change for change, _ in self._doubtful.values())
+        doubtful = self._doubts.list_servers()
         return StoreSnapshot(tuple(changes), self.revision, self.era, doubtful)
 
     def apply_snapshot(
@@ -174,10 +164,9 @@
         if snapshot.era > self.era:
             known, states = self.position, self._data_centre_states
             self.restart(snapshot.era, now)
-            self._doubt_states(snapshot, states, now)
-            current = self._select_current(snapshot, now)
+            current = self._doubts.start(snapshot, states, now)
             if known.revision and known.era != NO_ERA:
-                self.on_restored(known, len(self._doubtful))
+                self.on_restored(known, self._doubts.server_count)
         new_changes = [change for change in current if self.apply_change(change, now)]
         present = {
             change.change.entry.server
@@ -196,7 +185,7 @@
         }
         for name, (revision, is_out) in list(self._data_centre_states.items()):
             is_missing = is_out and name not in out_of_service
-            if name in self._doubtful_states:
+            if self._doubts.is_state_doubtful(name):
                 continue
             if is_missing and revision <= snapshot.revision:
                 restored = RevisedChange(
@@ -233,68 +222,10 @@
 
         Registrations that were doubtful and still stand count from now on.
         """
-        for server, (change, until) in list(self._doubtful.items()):
-            if now >= until:
-                del self._doubtful[server]
-                self._apply(change.change, change.revision, now)
-        for state, until in list(self._doubtful_states.values()):
-            if now >= until:
-                self._set_data_centre_state(state, self.revision)
+        for change in self._doubts.pop_due(now):
+            self._apply(change.change, change.revision or self.revision, now)
         return self.directory.expire(now)
 
-    def _select_current(
-        self, snapshot: StoreSnapshot, now: float
-    ) -> tuple[RevisedChange, ...]:
-        """Return what a restored store holds, without what is known to be outdated."""
-        self._doubtful = {
-            change.change.entry.server: (change, now + COPY_DOUBT_S)
-            for change in snapshot.changes + snapshot.doubtful
-            if isinstance(change.change, ServerChanged)
-            and (
-                change in snapshot.doubtful
-                or self.directory.has_left(change.change.entry)
-            )
-        }
-        for server in self._doubtful:
-            self.directory.mark_left(server, now)
-        return tuple(
-            change
-            for change in snapshot.changes
-            if not self._is_outdated(change.change)
-        )
-
-    def _is_outdated(self, change: StoreChange) -> bool:
-        """Return whether a restored store holds less than what is known."""
-        if isinstance(change, ServerChanged):
-            server = change.entry.server
-            return server in self._doubtful or self.directory.holds(change.entry)
-        if isinstance(change, DataCentreChanged):
-            return change.data_centre in self._doubtful_states
-        return False
-
-    def _doubt_states(
-        self,
-        snapshot: StoreSnapshot,
-        states: dict[str, tuple[int, bool]],
-        now: float,
-    ) -> None:
-        """Find the data centres whose states were changed after the copy.
-
-        `states` are those that were known before the restore.
-        """
-        listed = {
-            change.change.data_centre: change.revision
-            for change in snapshot.changes
-            if isinstance(change.change, DataCentreChanged)
-        }
-        until = now + REWRITE_S
-        self._doubtful_states = {
-            name: (DataCentreChanged(name, not is_out), until)
-            for name, (revision, is_out) in states.items()
-            if (is_out and name not in listed)
-            or (not is_out and listed.get(name, revision + 1) <= revision)
-        }
-
     def _mark_if_may_return(self, change: RevisedChange, now: float) -> RevisedChange:
         """Set `may_return` on a removal soon after a store outage."""
         store_change = change.change
@@ -324,7 +255,7 @@
 
     @_apply.register
     def _(self, change: ServerChanged, revision: int, now: float) -> bool:
-        self._doubtful.pop(change.entry.server, None)
+        self._doubts.settle_server(change.entry.server)
         known = self.directory.find_used(change.entry.server)
         is_new = self.directory.put(change.entry, revision)
         if is_new:
@@ -336,7 +267,7 @@
 
     @_apply.register
     def _(self, change: ServerRemoved, revision: int, now: float) -> bool:
-        self._doubtful.pop(change.server, None)
+        self._doubts.settle_server(change.server)
         is_new = self.directory.remove(change.server, revision, now, change.may_return)
         if is_new and not change.may_return:
             self._chooser.crash_watch.on_ended(change.server, now)
@@ -347,11 +278,7 @@
         known = self._data_centre_states.get(change.data_centre)
         if known is not None and revision <= known[0]:
             return False
-        return self._set_data_centre_state(change, revision)
-
-    def _set_data_centre_state(self, change: DataCentreChanged, revision: int) -> bool:
-        known = self._data_centre_states.get(change.data_centre)
-        was_doubtful = self._doubtful_states.pop(change.data_centre, None) is not None
+        was_doubtful = self._doubts.settle_state(change.data_centre)
         self._data_centre_states[change.data_centre] = (revision, change.is_out)
         self._chooser.excluded_data_centres = {
             name for name, (_, is_out) in self._data_centre_states.items() if is_out
--- a/currantwharf/gateway/tests/test_registry.py
+++ b/currantwharf/gateway/tests/test_registry.py
@@ -1,7 +1,8 @@
 import unittest
 
 from currantwharf.gateway.changes import RevisedChange, StoreEvents, StoreSnapshot
-from currantwharf.gateway.registry import COPY_DOUBT_S, REWRITE_S, Registry
+from currantwharf.gateway.copy_doubts import COPY_DOUBT_S, REWRITE_S
+from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.server_directory import REREGISTRATION_WINDOW_S
 from currantwharf.gateway.store_change import DataCentreChanged, ServerRemoved
 from currantwharf.gateway.store_position import StorePosition
--- a/currantwharf/peers/tests/test_restored_store.py
+++ b/currantwharf/peers/tests/test_restored_store.py
@@ -1,7 +1,7 @@
 import unittest
 
 from currantwharf.gateway.changes import RevisedChange
-from currantwharf.gateway.registry import COPY_DOUBT_S
+from currantwharf.gateway.copy_doubts import COPY_DOUBT_S
 from currantwharf.gateway.store_change import ConfigChanged, ServerChanged
 from currantwharf.tests.gateway_builders import make_config, make_entry
 from currantwharf.tests.simulated_fleet import SimulatedFleet, same_view
