--- a/currantwharf/gateway/copy_doubts.py
+++ b/currantwharf/gateway/copy_doubts.py
@@ -1,9 +1,9 @@
 """Comparison of a restored store's copy with what is known to have happened since.
 
-The copy of a store that was restored is some seconds old. It says of a server that
-leaves that it is ready, holds servers that had left, and lacks a data centre's removal
-from service, or its return. The operator and the servers write again what was lost. Until
-then, and for a limited time, what is known goes before what the copy says.
+The copy of a store that was restored is some seconds old. It may call a server ready
+that leaves, hold servers that had left, and lack a data centre's removal from service,
+or its return. The operator and the servers write again what was lost. Until then, and
+for a limited time, what is known goes before what the copy says.
 """
 
 from collections.abc import Mapping
@@ -26,9 +26,9 @@
 class CopyDoubts:
     """The entries of a restored store that are not used yet, each for a limited time.
 
-    A registration that a server wrote before the known one is not doubtful but
-    outdated. One that is no older than the end of its server is doubtful: the server may
-    have returned before the store was lost, without writing anything new since.
+    A registration that its server has replaced since is outdated. One whose server has
+    left since is doubtful: the server may have returned meanwhile, and what it wrote
+    then may have been lost.
     """
 
     def __init__(self, directory: ServerDirectory) -> None:
