Stop sending to servers that say in their answers that they leave

What callers saw: nothing yet; a new rule. A server that leaves says so in all its answers, and an instance that has passed one on sends it nothing later than drain-ms after, also while the store is away. No code read the header.

Change: the header is decoded in platform/ (exactly "1", repeated or not; anything else is ignored with a log line) and read from every intact answer of the server itself, rejections included. The server ranks behind the others at once, since it still serves; after half of the drain time it gets nothing, which leaves the other half for requests that wait for a connection. It holds for one start of the server.

Evidence: test_server_that_says_that_it_leaves_gets_nothing_while_the_store_is_away failed before. Not done: telling other instances, heads of answers that break off.

--- a/currantwharf/gateway/backend_answer.py
+++ b/currantwharf/gateway/backend_answer.py
@@ -22,7 +22,8 @@
 
     `warm_up_s` is how long the server says that it will stay cold, in seconds, and
     `limit_per_s` the limit that it names on the requests of all instances together, in
-    requests per second; None if it names none.
+    requests per second; None if it names none. `is_leaving` is true if the server says
+    that it leaves.
     """
 
     verdict: Verdict
@@ -32,6 +33,7 @@
     signature: bytes = b""
     warm_up_s: float = 0.0
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/currantwharf/gateway/gateway_limits.py
+++ b/currantwharf/gateway/gateway_limits.py
@@ -12,7 +12,8 @@
     `repeat_slack`. `assumed_fleet_size` is the number of instances that is assumed
     until the fleet is known; it is larger than any fleet in use. `grace_s` limits a
     graceful stop, and `config_apply_s` is the time within which a new configuration
-    must be in force everywhere, both in seconds.
+    must be in force everywhere. A server that leaves serves on for `drain_s`. All three
+    are in seconds.
     """
 
     repeat_ratio: float = 0.2
@@ -21,3 +22,4 @@
     assumed_fleet_size: int = 100
     grace_s: float = 6.0
     config_apply_s: float = 4.0
+    drain_s: float = 4.0
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -15,6 +15,7 @@
 from currantwharf.gateway.evidence_sharing import EvidenceSharing
 from currantwharf.gateway.gateway_limits import GatewayLimits
 from currantwharf.gateway.ineligibility import Ineligibility
+from currantwharf.gateway.leaving_servers import LeavingServers
 from currantwharf.gateway.repeat_refusal import RepeatRefusal
 from currantwharf.gateway.route import Route
 from currantwharf.gateway.server_directory import ServerDirectory
@@ -31,6 +32,7 @@
 SILENCE_PENALTY_S = 0.15  # how long a silent server is expected to stay silent
 FAILURE_PENALTY_S = 0.2  # cost of a failure if the request may be sent again
 NON_IDEMPOTENT_FAILURE_PENALTY_S = 2.0  # cost of a failure if it may not
+LEAVING_PENALTY_S = 5.0  # ranks a leaving server behind others, but for ejected ones
 EJECTION_PENALTY_S = 10.0  # ranks an ejected server behind any other
 COLD_WORK_FACTOR = 1.6  # times the usual work, on a cold server
 REMOTE_WORK_FACTOR = 2.0  # times the usual work, allowed for a hedge to a far server
@@ -63,6 +65,7 @@
         self.directory = directory
         self.cold_limit = ColdLimit(instance)
         self.server_limits = ServerLimits(instance)
+        self.leaving_servers = LeavingServers()
         self.excluded_data_centres: set[str] = set()
         self.crash_watch = CrashWatch()
         self.sharing = EvidenceSharing()
@@ -97,7 +100,9 @@
         self, entry: ServerEntry, route: Route, tried: Collection[str], now: float
     ) -> Ineligibility | None:
         """Return why a server may not get a request of `route`, or None if it may."""
-        if entry.leaving:
+        if entry.leaving or self.leaving_servers.is_drained(
+            entry, self._limits.drain_s, now
+        ):
             return Ineligibility.LEAVING
         if entry.server in tried:
             return Ineligibility.TRIED
@@ -282,6 +287,8 @@
     ) -> None:
         evidence = self.get_evidence(entry)
         self._update_limit(result, entry, now)
+        if result.is_leaving and _is_own_answer(result):
+            self.leaving_servers.on_notice(entry, now)
         if result.warm_up_s:
             evidence.cold_until = now + result.warm_up_s
         if result.verdict is Verdict.ANSWERED:
@@ -305,7 +312,7 @@
 
         Only an answer of the server's own shows that a limit has ended.
         """
-        if answer.verdict in (Verdict.MISDIRECTED, Verdict.SPOILED):
+        if not _is_own_answer(answer):
             return
         if answer.limit_per_s is not None or answer.verdict is Verdict.ANSWERED:
             self.server_limits.set_limit(entry.server, answer.limit_per_s, now)
@@ -320,6 +327,7 @@
         """Delete the evidence about a server that is gone."""
         self._evidence_by_server.pop(server, None)
         self.cold_limit.forget(server)
+        self.leaving_servers.forget(server)
         self.server_limits.forget(server)
         self.sharing.forget(server)
         self._misdirected_servers.discard(server)
@@ -350,6 +358,8 @@
             cost += SILENCE_PENALTY_S
         if now < evidence.cold_until:
             cost += work_s * (COLD_WORK_FACTOR - 1)
+        if self.leaving_servers.is_leaving(entry):
+            cost += LEAVING_PENALTY_S
         if now < evidence.ejected_until:
             cost += EJECTION_PENALTY_S
         return cost * (1 + COST_JITTER_RATIO * self._rng.random())
@@ -381,3 +391,8 @@
 
     def _repeat_allowance(self) -> float:
         return self._limits.repeat_slack * BUDGET_RATIO * self._fleet_share
+
+
+def _is_own_answer(answer: BackendAnswer) -> bool:
+    """Return whether an answer comes from the server that was asked, intact."""
+    return answer.verdict not in (Verdict.MISDIRECTED, Verdict.SPOILED)
--- a/currantwharf/gateway/tests/test_server_choice.py
+++ b/currantwharf/gateway/tests/test_server_choice.py
@@ -36,6 +36,34 @@
     def test_near_server_is_chosen_first(self):
         self.assertEqual(self.choose(), "near")
 
+    def test_server_that_says_that_it_leaves_ranks_behind_and_gets_nothing_later(self):
+        """It is the only one left in the end, and serves on for the drain time."""
+        leaving = make_answer(is_leaving=True)
+        now = self.record_results(self.near, [make_answer(), leaving])
+        self.assertEqual(self.choose(now), "far")
+        self.assertEqual(self.choose(now, tried={"far"}), "near")
+        drain_s = GatewayLimits().drain_s
+        self.assertEqual(self.choose(now + drain_s / 4, tried={"far"}), "near")
+        self.assertIsNone(self.choose(now + drain_s * 0.75, tried={"far"}))
+        self.record_results(self.near, [make_answer()], now + 1.0)
+        self.assertIsNone(self.choose(now + 60.0, tried={"far"}))
+
+    def test_leaving_is_told_by_every_answer_of_the_server_itself(self):
+        for verdict in (Verdict.ANSWERED, Verdict.FAILED, Verdict.REJECTED):
+            entry = make_entry(f"s-{verdict}")
+            self.record_results(entry, [make_answer(verdict, is_leaving=True)])
+            self.assertTrue(self.chooser.leaving_servers.is_leaving(entry), verdict)
+        for verdict in (Verdict.MISDIRECTED, Verdict.SPOILED):
+            entry = make_entry(f"s-{verdict}")
+            self.record_results(entry, [make_answer(verdict, is_leaving=True)])
+            self.assertFalse(self.chooser.leaving_servers.is_leaving(entry), verdict)
+
+    def test_server_that_starts_again_under_its_id_does_not_leave(self):
+        first = make_entry("s1", started_ms=1)
+        self.record_results(first, [make_answer(is_leaving=True)])
+        again = make_entry("s1", started_ms=2)
+        self.assertFalse(self.chooser.leaving_servers.is_leaving(again))
+
     def record_results(self, entry, results, now=0.0):
         for result in results:
             self.chooser.on_send(entry, 0, now)
--- a/currantwharf/platform/backend_protocol.py
+++ b/currantwharf/platform/backend_protocol.py
@@ -14,6 +14,7 @@
     select_end_to_end_headers,
 )
 from currantwharf.platform import names
+from currantwharf.runtime.component_log import component_logger
 
 # Headers that this instance writes itself; a caller's values are not forwarded.
 REPLACED_HEADERS = frozenset(
@@ -28,9 +29,12 @@
 # Requests with these methods carry a content-length even if their body is empty.
 METHODS_WITH_LENGTH = frozenset({b"POST", b"PUT", b"PATCH"})
 MAX_WARM_UP_MS = 600_000  # a longer warm-up counts as this one
+MAX_LOGGED_BYTES = 80  # of a header's values
 # No caller asks for an encoded body, so one that is encoded is not the server's own.
 CONTENT_ENCODING = b"content-encoding"
 
+log = component_logger("answer")
+
 
 class PlatformBackendWire:
     """Encode requests to backend servers and parse their responses."""
@@ -86,6 +90,7 @@
             signature,
             warm_up_s,
             parse_decimal(find_header(headers, names.SERVER_LIMIT), MAX_LIMIT_PER_S),
+            _says_that_it_leaves(response),
         )
 
 
@@ -96,6 +101,20 @@
     )
 
 
+def _says_that_it_leaves(response: HttpResponse) -> bool:
+    """Return whether every `Server-Leaving` header of a response is "1"."""
+    values = [v for name, v in response.headers if name == names.SERVER_LEAVING]
+    if not values:
+        return False
+    is_leaving = all(value.strip() == b"1" for value in values)
+    if not is_leaving:
+        log.warning(
+            "header of a leaving server is unreadable; ignoring it",
+            extra={"values": b", ".join(values)[:MAX_LOGGED_BYTES].decode("latin-1")},
+        )
+    return is_leaving
+
+
 def _classify(response: HttpResponse, signature: bytes) -> Verdict:
     if response.status == 421:
         return Verdict.MISDIRECTED
--- a/currantwharf/platform/names.py
+++ b/currantwharf/platform/names.py
@@ -7,6 +7,7 @@
 EXPECTED_SERVER = b"x-expect-instance"
 NOT_RUN = b"x-not-executed"
 WARM_UP_MS = b"x-warmup-ms"
+SERVER_LEAVING = b"server-leaving"  # "1" in all answers of a server that leaves
 SERVER_LIMIT = b"server-limit"  # requests per second from all instances together
 STORE_ERA = b"store-era"  # rises each time the store is restored from an older copy
 PART_SIGNATURES = b"x-part-stamps"
--- a/currantwharf/platform/platform_settings.py
+++ b/currantwharf/platform/platform_settings.py
@@ -82,5 +82,6 @@
             bounds.retry_window_s,
             grace_s=bounds.grace_s,
             config_apply_s=bounds.config_apply_ms / 1000,
+            drain_s=bounds.drain_ms / 1000,
         ),
     )
--- a/currantwharf/platform/settings_file.py
+++ b/currantwharf/platform/settings_file.py
@@ -19,6 +19,7 @@
     budget_slack: float = 0.0
     grace_s: float = 6.0
     config_apply_ms: float = 4_000.0
+    drain_ms: float = 4_000.0
 
 
 class LimitsSection(msgspec.Struct, rename="kebab"):
--- a/currantwharf/platform/tests/test_backend_protocol.py
+++ b/currantwharf/platform/tests/test_backend_protocol.py
@@ -3,6 +3,7 @@
 from currantwharf.gateway.backend_answer import Verdict
 from currantwharf.http1 import HttpResponse
 from currantwharf.platform.backend_protocol import (
+    MAX_LOGGED_BYTES,
     MAX_WARM_UP_MS,
     PlatformBackendWire,
     select_forwarded_headers,
@@ -53,6 +54,25 @@
         self.assertEqual(self.classify(429, proof), Verdict.REJECTED)
         self.assertEqual(self.classify(421), Verdict.MISDIRECTED)
 
+    def test_notice_of_a_server_that_leaves(self):
+        name = b"server-leaving"
+        for values, is_leaving in (
+            ((b"1",), True),
+            ((b" 1 ",), True),
+            ((b"1", b"1"), True),
+            ((), False),
+        ):
+            self.assertIs(self.says_that_it_leaves(name, values), is_leaving, values)
+        for values in ((b"0",), (b"true",), (b"-1",), (b"",), (b"1", b"0"), (b"1, 1",)):
+            with self.assertLogs("currantwharf", "WARNING") as logs:
+                self.assertFalse(self.says_that_it_leaves(name, values), values)
+            self.assertEqual(len(logs.records), 1)
+            self.assertLessEqual(len(logs.records[0].values), MAX_LOGGED_BYTES)
+
+    def says_that_it_leaves(self, name, values):
+        headers = (SIGNATURE, *((name, value) for value in values))
+        return self.wire.parse_response(HttpResponse(200, headers, b"")).is_leaving
+
     def test_limit_of_a_server(self):
         for value, limit in ((b"8.75", 8.75), (b"3", 3.0), (b"-1", None), (b"x", None)):
             headers = (SIGNATURE, (b"server-limit", value))
--- a/currantwharf/platform/tests/test_end_to_end.py
+++ b/currantwharf/platform/tests/test_end_to_end.py
@@ -214,6 +214,17 @@
             self.assertEqual(response.status, 200)
         self.assertEqual(len(self.site.servers[leaving].received_ids), before)
 
+    def test_server_that_says_that_it_leaves_gets_nothing_while_the_store_is_away(self):
+        """Its registration still calls it ready."""
+        self.site.store.fault = 503
+        leaving = self.site.servers[f"i-{ORDERS_SERVICE}-taipei-a"]
+        leaving.faults.leaving = True
+        self.assertEqual(self.send_order(1).status, 200)
+        self.assertEqual(len(leaving.received_ids), 1)
+        for _ in range(10):
+            self.assertEqual(self.send_order(1).status, 200)
+        self.assertEqual(len(leaving.received_ids), 1)
+
     def test_data_centre_out_of_service_gets_no_requests(self):
         self.site.store.put("op/evacuate/taipei-a", {})
         run_until(
--- a/currantwharf/standin/server_faults.py
+++ b/currantwharf/standin/server_faults.py
@@ -10,7 +10,8 @@
     `slow` multiplies its service time. A `silent` server queues requests and runs
     none, a `failing` one answers 500, and one with `shed` refuses each request as not
     run. Its answers name `limit_per_s`, in requests per second, unless that is None. A
-    request crashes it whose target contains `crashed_by`, unless that is empty.
+    request crashes it whose target contains `crashed_by`, unless that is empty. A
+    `leaving` one says so in its answers, and serves on.
     """
 
     slow: float = 1.0
@@ -19,3 +20,4 @@
     shed: bool = False
     limit_per_s: float | None = None
     crashed_by: bytes = b""
+    leaving: bool = False
--- a/currantwharf/standin/shard_server.py
+++ b/currantwharf/standin/shard_server.py
@@ -93,6 +93,8 @@
         headers = [(names.REQUEST_ID, request_id)]
         if self.faults.limit_per_s is not None:
             headers.append((names.SERVER_LIMIT, b"%.2f" % self.faults.limit_per_s))
+        if self.faults.leaving:
+            headers.append((names.SERVER_LEAVING, b"1"))
         if signed:
             headers.append((names.SIGNATURE, signature))
         return tuple(headers)
