Send nothing to servers for as long as they want nothing

What callers saw: nothing yet; a new rule. A server that rejects a request with 503 may name the seconds for which it wants nothing from that instance, and gets no more than two requests in that time. No code read them.

Change: the time is decoded in platform/ (seconds with fractions; the longest of several; dates, signs and words are ignored with a log line; an hour at most) and kept for one start of the server. Requests that no other server can take are refused at once, before anything is sent, with the time after which one can, spread so that those refused do not return together.

Evidence: test_servers_that_want_nothing_for_a_time_get_nothing failed before, on sockets; test_turned_away.py plays calls and queries without a network. Not done: telling other instances, and the simulation of load with classes that the issue asks for.

--- a/currantwharf/gateway/backend_answer.py
+++ b/currantwharf/gateway/backend_answer.py
@@ -23,7 +23,8 @@
     `warm_up_s` is how long the server says that it will stay cold, in seconds, and
     `limit_per_s` the limit that it names on the requests of all instances together, in
     requests per second; None if it names none. `is_leaving` is true if the server says
-    that it leaves.
+    that it leaves. `wants_nothing_s` is for how many seconds a server that rejects the
+    request wants nothing more from this instance.
     """
 
     verdict: Verdict
@@ -34,6 +35,7 @@
     warm_up_s: float = 0.0
     limit_per_s: float | None = None
     is_leaving: bool = False
+    wants_nothing_s: float = 0.0
 
     @property
     def is_success(self) -> bool:
--- a/currantwharf/gateway/call_result.py
+++ b/currantwharf/gateway/call_result.py
@@ -23,6 +23,7 @@
     NO_SERVER = "no_server"
     OVERLOADED = "overloaded"
     SERVER_LIMIT = "server_limit"  # the limits that its servers name are used up
+    TURNED_AWAY = "turned_away"  # its servers want nothing from this instance
     HELD = "held"
     SERVER_LOST = "server_lost"
     SERVER_FAILED = "server_failed"
--- a/currantwharf/gateway/ineligibility.py
+++ b/currantwharf/gateway/ineligibility.py
@@ -12,4 +12,5 @@
     ADDRESS_REUSED = "address_reused"
     TRIED = "tried"
     LIMITED = "limited"  # this instance's share of the limit that it names is used up
+    TURNED_AWAY = "turned_away"  # it wants nothing from this instance for a time
     COLD = "cold"  # this instance's share of the cold server's rate is used up
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -74,6 +74,7 @@
         self._answered_parts = 0
         self._is_query = bool(route.shards)
         self._last_failure_reason = CallReason.NO_SERVER
+        self._retry_after_s: float | None = None
         self._answer_rule = AnswerRule(route, request.target_at, len(services))
 
     @staticmethod
@@ -86,7 +87,7 @@
         for part in self.parts:
             self._chooser.on_request(part.service, now)
         actions: list[CallAction] = []
-        if self._is_stopped_by_limits(now):
+        if self._is_stopped_by_limits(now) or self._is_turned_away(now):
             return self._finish(actions)
         for part in self.parts:
             self._send_part(part, now, actions)
@@ -173,6 +174,26 @@
         self._last_failure_reason = CallReason.SERVER_LIMIT
         return True
 
+    def _is_turned_away(self, now: float) -> bool:
+        """Return whether servers that want nothing leave too few parts for an answer.
+
+        The caller is told when enough of them take requests again.
+        """
+        delays = [
+            self._chooser.find_return_delay_s(part.service, self.route, now)
+            for part in self.parts
+        ]
+        known = sorted(delay for delay in delays if delay is not None)
+        available = len(self.parts) - len(known)
+        for delay in known:
+            if available and self._answer_rule.has_min_coverage(available):
+                break
+            self._retry_after_s = delay
+            available += 1
+        if self._retry_after_s is not None:
+            self._last_failure_reason = CallReason.TURNED_AWAY
+        return self._retry_after_s is not None
+
     def _is_final(self, answer: BackendAnswer) -> bool:
         if self._is_query:
             return answer.is_success
@@ -349,6 +370,7 @@
         if self._is_unanswerable():
             return self._finish(actions)
         if not self._is_query and self._should_refuse():
+            self._is_turned_away(now)
             return self._finish(actions)
         return actions
 
@@ -378,6 +400,8 @@
         if outcome is CallOutcome.NOT_RUN:
             is_held = reason is CallReason.HELD
             retry_after_s = HELD_RETRY_AFTER_S if is_held else RETRY_AFTER_S
+            if self._retry_after_s is not None:
+                retry_after_s = self._retry_after_s
         result = CallResult(
             outcome,
             reason,
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -24,6 +24,7 @@
 from currantwharf.gateway.server_limits import ServerLimits
 from currantwharf.gateway.server_report import ServerReport
 from currantwharf.gateway.service_evidence import ServiceEvidence
+from currantwharf.gateway.turned_away import TurnedAway
 from currantwharf.http1 import ConnectionFailure
 from currantwharf.policy.extra_budget import ExtraBudget
 
@@ -32,6 +33,8 @@
 SILENCE_PENALTY_S = 0.15  # how long a silent server is expected to stay silent
 FAILURE_PENALTY_S = 0.2  # cost of a failure if the request may be sent again
 NON_IDEMPOTENT_FAILURE_PENALTY_S = 2.0  # cost of a failure if it may not
+# Time over which callers return that were refused while all servers turned them away.
+RETURN_SPREAD_S = 0.25
 LEAVING_PENALTY_S = 5.0  # ranks a leaving server behind others, but for ejected ones
 EJECTION_PENALTY_S = 10.0  # ranks an ejected server behind any other
 COLD_WORK_FACTOR = 1.6  # times the usual work, on a cold server
@@ -66,6 +69,7 @@
         self.cold_limit = ColdLimit(instance)
         self.server_limits = ServerLimits(instance)
         self.leaving_servers = LeavingServers()
+        self.turned_away = TurnedAway()
         self.excluded_data_centres: set[str] = set()
         self.crash_watch = CrashWatch()
         self.sharing = EvidenceSharing()
@@ -114,6 +118,8 @@
             return Ineligibility.REGION_NOT_ALLOWED
         if self._is_cold(entry, now) and not self.cold_limit.can_send(entry, now):
             return Ineligibility.COLD
+        if self.turned_away.remaining_s(entry, now):
+            return Ineligibility.TURNED_AWAY
         if not self.server_limits.can_send(entry, now):
             return Ineligibility.LIMITED
         return None
@@ -142,6 +148,27 @@
         ]
         return Ineligibility.LIMITED in reasons and None not in reasons
 
+    def find_return_delay_s(
+        self, service: str, route: Route, now: float
+    ) -> float | None:
+        """Return after how many seconds a server takes requests of `route` again.
+
+        None unless that is known: one at least has turned this instance away, and no
+        other may get a request. A random part keeps callers from returning together.
+        """
+        if not self.turned_away.has_any:
+            return None
+        entries = list(self.directory.get_servers(service).values())
+        reasons = [self.find_ineligibility(e, route, (), now) for e in entries]
+        if None in reasons or Ineligibility.TURNED_AWAY not in reasons:
+            return None
+        delay_s = min(
+            self.turned_away.remaining_s(entry, now)
+            for entry, reason in zip(entries, reasons, strict=True)
+            if reason is Ineligibility.TURNED_AWAY
+        )
+        return delay_s + self._rng.random() * max(RETURN_SPREAD_S, delay_s / 4)
+
     def expected_latency_s(self, entry: ServerEntry, now: float) -> float:
         """Return a server's expected latency over an open connection, in seconds."""
         return self.get_evidence(entry).expected_latency_s(now)
@@ -287,8 +314,11 @@
     ) -> None:
         evidence = self.get_evidence(entry)
         self._update_limit(result, entry, now)
-        if result.is_leaving and _is_own_answer(result):
-            self.leaving_servers.on_notice(entry, now)
+        if _is_own_answer(result):
+            if result.is_leaving:
+                self.leaving_servers.on_notice(entry, now)
+            if result.wants_nothing_s:
+                self.turned_away.on_rejection(entry, result.wants_nothing_s, now)
         if result.warm_up_s:
             evidence.cold_until = now + result.warm_up_s
         if result.verdict is Verdict.ANSWERED:
@@ -328,6 +358,7 @@
         self._evidence_by_server.pop(server, None)
         self.cold_limit.forget(server)
         self.leaving_servers.forget(server)
+        self.turned_away.forget(server)
         self.server_limits.forget(server)
         self.sharing.forget(server)
         self._misdirected_servers.discard(server)
--- /dev/null
+++ b/currantwharf/gateway/tests/test_turned_away.py
@@ -0,0 +1,91 @@
+import unittest
+
+from currantwharf.gateway.backend_answer import Verdict
+from currantwharf.gateway.call_actions import FinishCall, SendAttempt
+from currantwharf.gateway.call_result import CallOutcome, CallReason
+from currantwharf.gateway.ineligibility import Ineligibility
+from currantwharf.gateway.running_call import RunningCall
+from currantwharf.tests.gateway_builders import (
+    FAR,
+    make_answer,
+    make_chooser,
+    make_entry,
+    make_request,
+    make_route,
+)
+
+SHARDS = ("camphor", "longan")
+
+
+class TurnedAwayTests(unittest.TestCase):
+    """Calls while servers want nothing from this instance."""
+
+    def setUp(self):
+        self.entries = [
+            make_entry(f"{shard}-{place}", shard, data_centre)
+            for shard in SHARDS
+            for place, data_centre in (("near", "taipei-a"), ("far", FAR))
+        ]
+        self.chooser = make_chooser(self.entries)
+
+    def turn_away(self, shard, seconds, now=0.0):
+        answer = make_answer(Verdict.REJECTED, 503, wants_nothing_s=seconds)
+        for entry in self.entries:
+            if entry.service == shard:
+                self.chooser.on_send(entry, 0, now)
+                self.chooser.on_result(answer, entry, 0, now)
+
+    def start(self, route, services, now=0.0):
+        call = RunningCall(make_request(now), route, services, self.chooser, 0)
+        actions = call.start(now)
+        results = [a.result for a in actions if isinstance(a, FinishCall)]
+        sent = {a.entry.service for a in actions if isinstance(a, SendAttempt)}
+        return results, sent
+
+    def test_request_is_refused_at_once_until_a_server_takes_it(self):
+        self.turn_away("camphor", 2.0)
+        (result,), sent = self.start(make_route(), ("camphor",), now=0.5)
+        self.assertEqual(sent, set())
+        self.assertIs(result.outcome, CallOutcome.NOT_RUN)
+        self.assertIs(result.reason, CallReason.TURNED_AWAY)
+        self.assertGreaterEqual(result.retry_after_s, 1.5)
+        self.assertLess(result.retry_after_s, 2.0)
+        _, sent = self.start(make_route(), ("camphor",), now=2.0)
+        self.assertEqual(sent, {"camphor"})
+
+    def test_callers_refused_together_do_not_return_together(self):
+        self.turn_away("camphor", 2.0)
+        times = [
+            self.start(make_route(), ("camphor",))[0][0].retry_after_s
+            for _ in range(200)
+        ]
+        self.assertGreater(max(times) - min(times), 0.4)
+
+    def test_query_goes_without_a_shard_that_its_coverage_can_spare(self):
+        self.turn_away("camphor", 2.0)
+        results, sent = self.start(make_route(SHARDS, least_coverage=0.5), SHARDS)
+        self.assertEqual((results, sent), ([], {"longan"}))
+
+    def test_query_that_cannot_spare_the_shard_is_refused_before_any_send(self):
+        self.turn_away("camphor", 2.0)
+        (result,), sent = self.start(make_route(SHARDS, least_coverage=0.9), SHARDS)
+        self.assertEqual(sent, set())
+        self.assertIs(result.reason, CallReason.TURNED_AWAY)
+
+    def test_longest_time_holds_and_a_new_start_of_the_server_is_not_bound(self):
+        entry = make_entry("s1", started_ms=1)
+        turned_away = self.chooser.turned_away
+        turned_away.on_rejection(entry, 5.0, 0.0)
+        turned_away.on_rejection(entry, 1.0, 1.0)
+        find = self.chooser.find_ineligibility
+        route = make_route()
+        self.assertIs(find(entry, route, (), 4.9), Ineligibility.TURNED_AWAY)
+        self.assertIsNone(find(entry, route, (), 5.0))
+        self.assertIsNone(find(make_entry("s1", started_ms=2), route, (), 1.0))
+
+    def test_times_that_are_over_are_dropped(self):
+        self.turn_away("camphor", 2.0)
+        self.chooser.turned_away.expire(1.9)
+        self.assertTrue(self.chooser.turned_away.has_any)
+        self.chooser.turned_away.expire(2.0)
+        self.assertFalse(self.chooser.turned_away.has_any)
--- a/currantwharf/platform/backend_protocol.py
+++ b/currantwharf/platform/backend_protocol.py
@@ -29,6 +29,7 @@
 # Requests with these methods carry a content-length even if their body is empty.
 METHODS_WITH_LENGTH = frozenset({b"POST", b"PUT", b"PATCH"})
 MAX_WARM_UP_MS = 600_000  # a longer warm-up counts as this one
+MAX_REJECTION_TIME_S = 3_600.0  # a longer one counts as this one
 MAX_LOGGED_BYTES = 80  # of a header's values
 # No caller asks for an encoded body, so one that is encoded is not the server's own.
 CONTENT_ENCODING = b"content-encoding"
@@ -91,6 +92,7 @@
             warm_up_s,
             parse_decimal(find_header(headers, names.SERVER_LIMIT), MAX_LIMIT_PER_S),
             _says_that_it_leaves(response),
+            _read_rejection_time(response),
         )
 
 
@@ -103,18 +105,39 @@
 
 def _says_that_it_leaves(response: HttpResponse) -> bool:
     """Return whether every `Server-Leaving` header of a response is "1"."""
-    values = [v for name, v in response.headers if name == names.SERVER_LEAVING]
+    values = _find_values(response, names.SERVER_LEAVING)
     if not values:
         return False
-    is_leaving = all(value.strip() == b"1" for value in values)
+    is_leaving = all(value == b"1" for value in values)
     if not is_leaving:
-        log.warning(
-            "header of a leaving server is unreadable; ignoring it",
-            extra={"values": b", ".join(values)[:MAX_LOGGED_BYTES].decode("latin-1")},
-        )
+        _log_unreadable(names.SERVER_LEAVING, values)
     return is_leaving
 
 
+def _read_rejection_time(response: HttpResponse) -> float:
+    """Return the longest `Retry-After` of a 503, in seconds; 0 if there is none.
+
+    A date is not read: the clocks of the machines differ.
+    """
+    if response.status != 503:
+        return 0.0
+    values = _find_values(response, names.RETRY_AFTER)
+    times = [parse_decimal(value, MAX_REJECTION_TIME_S) for value in values]
+    if None in times:
+        _log_unreadable(names.RETRY_AFTER, values)
+    return max((time for time in times if time is not None), default=0.0)
+
+
+def _find_values(response: HttpResponse, name: bytes) -> list[bytes]:
+    return [value.strip() for key, value in response.headers if key == name]
+
+
+def _log_unreadable(name: bytes, values: list[bytes]) -> None:
+    text = b", ".join(values)[:MAX_LOGGED_BYTES].decode("latin-1")
+    fields = {"header": name.decode(), "values": text}
+    log.warning("header of a server is unreadable; ignoring it", extra=fields)
+
+
 def _classify(response: HttpResponse, signature: bytes) -> Verdict:
     if response.status == 421:
         return Verdict.MISDIRECTED
--- a/currantwharf/platform/tests/test_backend_protocol.py
+++ b/currantwharf/platform/tests/test_backend_protocol.py
@@ -4,6 +4,7 @@
 from currantwharf.http1 import HttpResponse
 from currantwharf.platform.backend_protocol import (
     MAX_LOGGED_BYTES,
+    MAX_REJECTION_TIME_S,
     MAX_WARM_UP_MS,
     PlatformBackendWire,
     select_forwarded_headers,
@@ -73,6 +74,31 @@
         headers = (SIGNATURE, *((name, value) for value in values))
         return self.wire.parse_response(HttpResponse(200, headers, b"")).is_leaving
 
+    def test_time_for_which_a_server_wants_nothing(self):
+        for status, values, seconds in (
+            (503, (b"2",), 2.0),
+            (503, (b"0.5",), 0.5),
+            (503, (b"1", b"3"), 3.0),
+            (503, (b"0",), 0.0),
+            (503, (), 0.0),
+            (503, (b"9" * 400,), MAX_REJECTION_TIME_S),
+            (200, (b"2",), 0.0),
+            (429, (b"2",), 0.0),
+        ):
+            self.assertEqual(self.read_rejection_time(status, values), seconds, values)
+        date = b"Fri, 04 Dec 2026 21:31:41 GMT"
+        for value in (b"-1", b"nan", b"inf", b"1e3", b"", b"soon", date):
+            with self.assertLogs("currantwharf", "WARNING") as logs:
+                self.assertEqual(self.read_rejection_time(503, (value,)), 0.0, value)
+            self.assertEqual(len(logs.records), 1)
+
+    def read_rejection_time(self, status, values):
+        proof = (b"x-not-executed", b"1")
+        headers = (proof, *((b"retry-after", value) for value in values))
+        return self.wire.parse_response(
+            HttpResponse(status, headers, b"")
+        ).wants_nothing_s
+
     def test_limit_of_a_server(self):
         for value, limit in ((b"8.75", 8.75), (b"3", 3.0), (b"-1", None), (b"x", None)):
             headers = (SIGNATURE, (b"server-limit", value))
--- a/currantwharf/platform/tests/test_end_to_end.py
+++ b/currantwharf/platform/tests/test_end_to_end.py
@@ -225,6 +225,30 @@
             self.assertEqual(self.send_order(1).status, 200)
         self.assertEqual(len(leaving.received_ids), 1)
 
+    def test_servers_that_want_nothing_for_a_time_get_nothing(self):
+        servers = [
+            server
+            for name, server in self.site.servers.items()
+            if name.startswith(f"i-{ORDERS_SERVICE}")
+        ]
+        for server in servers:
+            server.faults.shed, server.faults.wants_nothing_s = True, 1.0
+        first = self.send_order(0)
+        self.assertEqual(first.status, 503)
+        received = sum(len(server.received_ids) for server in servers)
+        self.assertEqual(received, len(servers))
+        for server in servers:
+            server.faults.shed = False
+        for _ in range(20):
+            refused = self.send_order(0)
+            self.assertEqual(refused.status, 503)
+            delay_s = float(refused.get(b"retry-after"))
+            self.assertLess(0.5, delay_s)
+            self.assertLess(delay_s, 1.5)
+        self.assertEqual(sum(len(s.received_ids) for s in servers), received)
+        run_for(1.1)
+        self.assertEqual(self.send_order(0).status, 200)
+
     def test_data_centre_out_of_service_gets_no_requests(self):
         self.site.store.put("op/evacuate/taipei-a", {})
         run_until(
--- a/currantwharf/standin/server_faults.py
+++ b/currantwharf/standin/server_faults.py
@@ -11,7 +11,8 @@
     none, a `failing` one answers 500, and one with `shed` refuses each request as not
     run. Its answers name `limit_per_s`, in requests per second, unless that is None. A
     request crashes it whose target contains `crashed_by`, unless that is empty. A
-    `leaving` one says so in its answers, and serves on.
+    `leaving` one says so in its answers, and serves on. One that sheds names
+    `wants_nothing_s` as the time for which it wants nothing, unless that is 0.
     """
 
     slow: float = 1.0
@@ -21,3 +22,4 @@
     limit_per_s: float | None = None
     crashed_by: bytes = b""
     leaving: bool = False
+    wants_nothing_s: float = 0.0
--- a/currantwharf/standin/shard_server.py
+++ b/currantwharf/standin/shard_server.py
@@ -52,9 +52,12 @@
         if expected is not None and expected.decode() != self.server:
             responder.finish(421, self._build_headers(request, signed=False), b"")
         elif self.faults.shed or len(self._waiting) >= MAX_QUEUED_REQUESTS:
-            not_run = (names.NOT_RUN, b"1")
-            headers = self._build_headers(request, signed=False)
-            responder.finish(503, (*headers, not_run), b"")
+            headers = [*self._build_headers(request, signed=False)]
+            headers.append((names.NOT_RUN, b"1"))
+            if self.faults.wants_nothing_s:
+                value = b"%.2f" % self.faults.wants_nothing_s
+                headers.append((names.RETRY_AFTER, value))
+            responder.finish(503, headers, b"")
         else:
             self._waiting.append((request, responder))
             self._start_next()
