--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -295,7 +295,6 @@
         self.received = []
         self.ran = []
         self.finished = []
-        self.cold_times = []
         self.born = int(time.time() * 1000)
         self._slots = slots
         self._queue_size = queue
@@ -366,9 +365,7 @@
             self._answer(job, 421, stamped=False)
             return
         self.received.append((request_id, now))
-        self.site.record.add(
-            "received", server=self.id, id=request_id, method=method, target=target
-        )
+        self._note("received", request_id, method=method, target=target)
         refusal = self.refuse(job)
         if refusal is None and len(self._waiting) >= self._queue_size:
             refusal = ()
@@ -388,7 +385,7 @@
             job.runs = True
             self._running.add(job)
             self.ran.append((job.request_id, self.site.record.now()))
-            self.site.record.add("run", server=self.id, id=job.request_id)
+            self._note("run", job.request_id)
             asyncio.get_running_loop().call_later(
                 self.work_s(job.target), self._finish, job
             )
@@ -397,21 +394,27 @@
         if job.is_ended:
             return
         self.finished.append((job.request_id, self.site.record.now()))
-        self._answer(job, 200, stamped=True, body=b"done by " + self.id.encode())
+        self._answer(job, 200, stamped=True, body=self.make_body(job))
+
+    def make_body(self, job):
+        """Return the body of an answer."""
+        return b"done by " + self.id.encode()
 
     def _expire(self, job):
         if not job.is_ended:
             self._answer(job, 504 if job.runs else 503, job.runs, not_run=not job.runs)
 
+    def _note(self, event, request_id, **fields):
+        if self.site.records_servers:
+            self.site.record.add(event, server=self.id, id=request_id, **fields)
+
     def _answer(self, job, status, stamped, extra=(), body=b"", not_run=False):
         headers = [("X-Request-Id", job.request_id), *self.extra_headers, *extra]
         if stamped:
             headers.append(("X-Server-Stamp", f"{self.id}.{job.request_id}"))
         if not_run:
             headers.append(("X-Not-Executed", "1"))
-        self.site.record.add(
-            "server answered", server=self.id, id=job.request_id, status=status
-        )
+        self._note("server answered", job.request_id, status=status)
         self._end(job)
         job.conn.job = None
         job.conn.answer(status, headers, body)
@@ -426,7 +429,7 @@
     def _on_lost(self, conn):
         self._connections.discard(conn)
         if conn.job is not None and not conn.job.is_ended:
-            self.site.record.add("dropped", server=self.id, id=conn.job.request_id)
+            self._note("dropped", conn.job.request_id)
             self._end(conn.job)
 
 
@@ -555,6 +558,7 @@
         self.store = Store(self.record)
         self.servers = []
         self.gateways = []
+        self.records_servers = True
         self.version = 6
         self._ids = itertools.count(1)
         self._run_id = f"{random.getrandbits(32):08x}"
@@ -571,8 +575,11 @@
         for gateway in self.gateways:
             gateway.write_settings(seeds)
 
-    async def add_server(self, service, zone, slots, queue, max_conns, work_s):
-        server = Server(self, service, zone, slots, queue, max_conns, work_s)
+    async def add_server(
+        self, service, zone, slots, queue, max_conns, work_s, kind=Server
+    ):
+        """Start a server; it isn't registered yet."""
+        server = kind(self, service, zone, slots, queue, max_conns, work_s)
         await server.start()
         self.servers.append(server)
         return server
