Withdraw what waits for a connection when its caller leaves

Cause: when a caller leaves, its exchanges were cancelled only on idempotent routes, since a booking may be running. One that waits for a connection is not, but it stayed in the pool's queue, which asked for nothing but the deadline. The same on a related path: a cancellation looked the pool up by its server, so work at a server that was removed meanwhile was never cancelled.

Change: what waits is withdrawn at once on all routes; what was sent is treated as before. A running attempt keeps the pool that holds it.

Conclusion: nothing that waits outlives its caller.

--- a/currantwharf/gateway/call_runner.py
+++ b/currantwharf/gateway/call_runner.py
@@ -17,6 +17,7 @@
 from currantwharf.gateway.call_result import CallResult
 from currantwharf.gateway.gateway_request import GatewayRequest
 from currantwharf.gateway.route import Route
+from currantwharf.gateway.running_attempt import RunningAttempt
 from currantwharf.gateway.running_call import RunningCall
 from currantwharf.gateway.server_choice import ServerChooser
 from currantwharf.gateway.server_entry import ServerEntry
@@ -32,9 +33,9 @@
 
 
 class Call:
-    """One running call with its timer and its exchanges with backend servers."""
+    """One running call with its timer and its attempts at backend servers."""
 
-    __slots__ = ("state", "head", "on_result", "timer", "exchanges")
+    __slots__ = ("state", "head", "on_result", "timer", "attempts")
 
     def __init__(
         self, state: RunningCall, head: bytes, on_result: Callable[[CallResult], None]
@@ -43,7 +44,7 @@
         self.head = head
         self.on_result = on_result
         self.timer: Any = None
-        self.exchanges: dict[int, tuple[ServerEntry, Exchange]] = {}
+        self.attempts: dict[int, RunningAttempt] = {}
 
 
 class CallRunner:
@@ -88,12 +89,17 @@
         return call
 
     def abandon(self, call: Call) -> None:
-        """End the call of a disconnected caller; idempotent work is cancelled soon."""
+        """End the call of a disconnected caller.
+
+        What waits for a connection is not sent any more, whatever its route. Idempotent
+        work is cancelled soon; other work goes on, since it may have run.
+        """
         if call not in self.running:
             return
         self._remove(call)
         call.state.abandon()
-        if call.state.route.idempotent and call.exchanges:
+        self._cancel_unsent(call)
+        if call.state.route.idempotent and call.attempts:
             self._reactor.callLater(ABANDON_DELAY_S, self._cancel_all, call)
 
     def finish_all(self) -> None:
@@ -106,8 +112,8 @@
         """Cancel attempts that are past their deadline."""
         for attempt, call in list(self._calls_by_attempt.items()):
             if now > call.state.request.deadline + EXPIRY_DELAY_S:
-                entry, exchange = call.exchanges[attempt]
-                self._pools.get(entry).cancel(exchange, ConnectionFailure.TIMED_OUT)
+                running = call.attempts[attempt]
+                running.pool.cancel(running.exchange, ConnectionFailure.TIMED_OUT)
 
     def _perform(self, call: Call, actions: list[CallAction], now: float) -> None:
         for action in actions:
@@ -116,9 +122,9 @@
             elif isinstance(action, PreconnectServer):
                 self._pools.get(action.entry).preconnect()
             elif isinstance(action, CancelUnsent):
-                sent = call.exchanges.get(action.attempt)
-                if sent is not None:
-                    self._pools.get(sent[0]).cancel_unsent(sent[1], action.failure)
+                running = call.attempts.get(action.attempt)
+                if running is not None:
+                    running.pool.cancel_unsent(running.exchange, action.failure)
         for action in actions:
             if isinstance(action, FinishCall) and call in self.running:
                 self._remove(call)
@@ -141,9 +147,10 @@
             lambda result: self._on_exchange_result(call, attempt, result),
             request.request_id,
         )
-        call.exchanges[attempt] = (entry, exchange)
+        pool = self._pools.get(entry)
+        call.attempts[attempt] = RunningAttempt(entry, exchange, pool)
         self._calls_by_attempt[attempt] = call
-        self._pools.get(entry).send(exchange)
+        pool.send(exchange)
 
     def _on_exchange_result(
         self,
@@ -151,7 +158,7 @@
         attempt: int,
         exchange_result: HttpResponse | ConnectionFailure,
     ) -> None:
-        entry, _ = call.exchanges.pop(attempt)
+        entry = call.attempts.pop(attempt).entry
         del self._calls_by_attempt[attempt]
         now = self._clock.now()
         result: AttemptResult
@@ -215,9 +222,9 @@
             call.timer = None
 
     def _cancel_unsent(self, call: Call) -> None:
-        for entry, exchange in list(call.exchanges.values()):
-            self._pools.get(entry).cancel_unsent(exchange)
+        for running in list(call.attempts.values()):
+            running.pool.cancel_unsent(running.exchange)
 
     def _cancel_all(self, call: Call) -> None:
-        for entry, exchange in list(call.exchanges.values()):
-            self._pools.get(entry).cancel(exchange, ConnectionFailure.TIMED_OUT)
+        for running in list(call.attempts.values()):
+            running.pool.cancel(running.exchange, ConnectionFailure.TIMED_OUT)
--- a/currantwharf/gateway/tests/test_call_runner.py
+++ b/currantwharf/gateway/tests/test_call_runner.py
@@ -149,6 +149,28 @@
         self.assertEqual(len(self.pools.sent), 1)
         self.assertEqual(self.results, [])
 
+    def test_order_that_waits_is_not_sent_for_a_disconnected_caller(self):
+        """Guards against bookings that run after their callers have left."""
+        for idempotent in (False, True):
+            call = self.start(idempotent)
+            waiting = self.pools.sent[-1]
+            self.pools.unsent = [waiting]
+            self.runner.abandon(call)
+            self.assertTrue(waiting.is_done)
+            self.assertEqual(self.pools.unsent, [])
+        self.assertEqual(len(self.pools.sent), 2)
+        self.assertEqual(self.results, [])
+
+    def test_work_at_a_server_that_is_gone_is_cancelled_where_it_was_sent(self):
+        """Guards against work that goes on since its pool is not found any more."""
+        call = self.start()
+        old, new = self.pools, FakePools()
+        self.pools.get = lambda entry: new
+        self.runner.abandon(call)
+        self.clock.advance(ABANDON_DELAY_S)
+        self.assertEqual(old.cancelled, old.sent)
+        self.assertEqual(new.cancelled, [])
+
     def test_order_of_a_disconnected_caller_is_not_cancelled(self):
         call = self.start(idempotent=False)
         self.runner.abandon(call)
