Ask again at the moment of sending whether a server may get a request

Cause: whether a server may get a request was decided when the request was placed. While it waited for a connection, nothing but its deadline was looked at again, and neither a change nor the removal of the server's entry touched what waited. So what was decided is not what was sent.

RunningCall.find_obstacle answers, at a given time, for all reasons: server draining, leaving by its answers, gone or at another address, address reused, data centre evacuated, region, a limit named, a time without requests, cold, crashing request, answered elsewhere, caller gone. A withdrawn request goes to another server without spending a repeat, or is refused at once as not run. A pool that is closed withdraws what waits in it. A rate that came into force since a request was placed counts it when it is written. The log says why a request was withdrawn.

Conclusion: one place decides, so that the next rule can't miss a queue. Left: tokens that were counted at placing may be written together later (only suspected).

--- a/currantwharf/gateway/call_log.py
+++ b/currantwharf/gateway/call_log.py
@@ -3,6 +3,7 @@
 from currantwharf.gateway.attempt_result import AttemptResult
 from currantwharf.gateway.backend_answer import BackendAnswer
 from currantwharf.gateway.call_result import CallOutcome, CallResult
+from currantwharf.gateway.ineligibility import Ineligibility
 from currantwharf.gateway.part_call import PartCall
 from currantwharf.gateway.running_call import RunningCall
 from currantwharf.gateway.server_entry import ServerEntry
@@ -89,6 +90,27 @@
     )
 
 
+def log_obstacle(
+    call: RunningCall,
+    attempt: int,
+    entry: ServerEntry,
+    obstacle: Ineligibility,
+    now: float,
+) -> None:
+    """Log an attempt that waited for a connection and may not be sent any more."""
+    log.info(
+        "attempt withdrawn before it was sent",
+        extra={
+            "request_id": call.request.request_id,
+            "service": entry.service,
+            "server": entry.server,
+            "after_ms": _to_ms(now - call.request.arrived_at),
+            "attempt": attempt,
+            "why": obstacle.value,
+        },
+    )
+
+
 def _describe_part(part: PartCall, now: float) -> dict[str, object]:
     return {
         "service": part.service,
--- a/currantwharf/gateway/call_runner.py
+++ b/currantwharf/gateway/call_runner.py
@@ -13,7 +13,7 @@
     PreconnectServer,
     SendAttempt,
 )
-from currantwharf.gateway.call_log import log_failed_attempt
+from currantwharf.gateway.call_log import log_failed_attempt, log_obstacle
 from currantwharf.gateway.call_result import CallResult
 from currantwharf.gateway.gateway_request import GatewayRequest
 from currantwharf.gateway.route import Route
@@ -136,9 +136,15 @@
         request, entry, attempt = call.state.request, action.entry, action.attempt
 
         def encode(now: float) -> bytes:
-            self._chooser.on_written(entry, attempt, now)
+            call.state.on_attempt_written(attempt, now)
             return self._wire.encode(call.head, request, entry, now)
 
+        def may_be_sent(now: float) -> bool:
+            obstacle = call.state.find_obstacle(attempt, now)
+            if obstacle is not None:
+                log_obstacle(call.state, attempt, entry, obstacle, now)
+            return obstacle is None
+
         exchange = Exchange(
             encode,
             lambda response: self._wire.matches(response, request),
@@ -146,6 +152,7 @@
             not call.state.route.idempotent,
             lambda result: self._on_exchange_result(call, attempt, result),
             request.request_id,
+            may_be_sent,
         )
         pool = self._pools.get(entry)
         call.attempts[attempt] = RunningAttempt(entry, exchange, pool)
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -244,6 +244,7 @@
         self._report_lag(newest, now)
         self._update_shares(now)
         self.calls.sweep(now)
+        self.pools.drop_unsendable(now)
         self.pools.sweep(now)
         for conn in list(self.caller_connections):
             conn.check_timeouts(now)
--- a/currantwharf/gateway/part_call.py
+++ b/currantwharf/gateway/part_call.py
@@ -3,16 +3,21 @@
 from dataclasses import dataclass, field
 
 from currantwharf.gateway.backend_answer import BackendAnswer
+from currantwharf.gateway.ineligibility import Ineligibility
 from currantwharf.gateway.repeat_refusal import RepeatRefusal
 from currantwharf.gateway.server_entry import ServerEntry
 
 
 @dataclass(frozen=True, slots=True)
 class PartAttempt:
-    """An attempt's server and send time, in seconds of the monotonic clock."""
+    """An attempt's server and the time when it was placed there, in seconds.
+
+    `counted` are the server's rates that have counted it.
+    """
 
     entry: ServerEntry
     sent_at: float
+    counted: frozenset[Ineligibility] = frozenset()
 
 
 @dataclass(slots=True)
--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -26,6 +26,7 @@
 from currantwharf.gateway.connect_patience import connect_check_time, is_server_late
 from currantwharf.gateway.gateway_request import GatewayRequest
 from currantwharf.gateway.hedge_rule import is_hedge_sooner
+from currantwharf.gateway.ineligibility import Ineligibility
 from currantwharf.gateway.part_call import PartAttempt, PartCall
 from currantwharf.gateway.repeat_refusal import RepeatRefusal
 from currantwharf.gateway.route import Route
@@ -134,6 +135,23 @@
         """Finish with the answers received so far, as the instance is about to stop."""
         return [] if self.is_finished else self._finish([])
 
+    def find_obstacle(self, attempt: int, now: float) -> Ineligibility | None:
+        """Return why an attempt that was placed may not be sent any more, or None."""
+        part = self._parts_by_attempt.get(attempt)
+        if self.is_finished or part is None or part.answer is not None:
+            return Ineligibility.NOT_WANTED
+        if self._chooser.crash_watch.is_held(self.request.fingerprint, now):
+            return Ineligibility.CRASHES_SERVERS
+        placed = part.attempts[attempt]
+        return self._chooser.find_obstacle(
+            placed.entry, self.route, placed.counted, now
+        )
+
+    def on_attempt_written(self, attempt: int, now: float) -> None:
+        """Record that an attempt was written to a connection."""
+        placed = self._parts_by_attempt[attempt].attempts[attempt]
+        self._chooser.on_written(placed.entry, attempt, placed.counted, now)
+
     def on_attempt_result(
         self, attempt: int, result: AttemptResult, now: float
     ) -> list[CallAction]:
@@ -260,7 +278,8 @@
         self._next_attempt += 1
         self.sends += 1
         self.extras += part.is_repeat
-        part.attempts[attempt] = PartAttempt(entry, now)
+        counted = self._chooser.on_send(entry, attempt, now)
+        part.attempts[attempt] = PartAttempt(entry, now, counted)
         part.tried_servers.add(entry.server)
         part.possible_runs += 1
         part.sends += 1
@@ -274,7 +293,6 @@
             entry, self.route, now
         )
         self._parts_by_attempt[attempt] = part
-        self._chooser.on_send(entry, attempt, now)
         actions.append(SendAttempt(attempt, entry, part.is_repeat))
         if part.hedge_at is not None:
             hedge_entry = self._chooser.choose_preconnect(
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -104,23 +104,66 @@
         self, entry: ServerEntry, route: Route, tried: Collection[str], now: float
     ) -> Ineligibility | None:
         """Return why a server may not get a request of `route`, or None if it may."""
+        if entry.server in tried:
+            return Ineligibility.TRIED
+        return self._find_refusal(entry, route, now) or self._find_spent_rate(
+            entry, (), now
+        )
+
+    def find_obstacle(
+        self,
+        entry: ServerEntry,
+        route: Route,
+        counted: Collection[Ineligibility],
+        now: float,
+    ) -> Ineligibility | None:
+        """Return why a server may not get a request that was placed there before.
+
+        The load: requests wait for connections for seconds, while servers drain, leave,
+        name limits or turn this instance away, and data centres are evacuated.
+        `counted` are the rates that the request was counted against when it was placed.
+        """
+        known = self.directory.find_used(entry.server)
+        if known is None or known.address != entry.address:
+            return Ineligibility.GONE
+        return self._find_refusal(known, route, now) or self._find_spent_rate(
+            known, counted, now
+        )
+
+    def _find_refusal(
+        self, entry: ServerEntry, route: Route, now: float
+    ) -> Ineligibility | None:
+        """Return why a server may get no request of `route` at all, or None."""
         if entry.leaving or self.leaving_servers.is_drained(
             entry, self._limits.drain_s, now
         ):
             return Ineligibility.LEAVING
-        if entry.server in tried:
-            return Ineligibility.TRIED
         if entry.server in self._misdirected_servers:
             return Ineligibility.ADDRESS_REUSED
         if entry.data_centre in self.excluded_data_centres:
             return Ineligibility.DATA_CENTRE_OUT
         if route.regions and self._regions.get(entry.data_centre) not in route.regions:
             return Ineligibility.REGION_NOT_ALLOWED
-        if self._is_cold(entry, now) and not self.cold_limit.can_send(entry, now):
-            return Ineligibility.COLD
         if self.turned_away.remaining_s(entry, now):
             return Ineligibility.TURNED_AWAY
-        if not self.server_limits.can_send(entry, now):
+        return None
+
+    def _find_spent_rate(
+        self, entry: ServerEntry, counted: Collection[Ineligibility], now: float
+    ) -> Ineligibility | None:
+        """Return the rate of a server of which this instance's share is used up.
+
+        Rates in `counted` have counted the request already.
+        """
+        if (
+            Ineligibility.COLD not in counted
+            and self._is_cold(entry, now)
+            and not self.cold_limit.can_send(entry, now)
+        ):
+            return Ineligibility.COLD
+        if Ineligibility.LIMITED not in counted and not self.server_limits.can_send(
+            entry, now
+        ):
             return Ineligibility.LIMITED
         return None
 
@@ -257,16 +300,40 @@
             else RepeatRefusal.BUDGET_SPENT
         )
 
-    def on_send(self, entry: ServerEntry, attempt: int, now: float) -> None:
-        """Record a request sent to a server."""
+    def on_send(
+        self, entry: ServerEntry, attempt: int, now: float
+    ) -> frozenset[Ineligibility]:
+        """Record a request placed at a server; return the rates that counted it."""
         self.get_evidence(entry).on_send(attempt, now)
-        self.server_limits.on_send(entry, now)
-        if self._is_cold(entry, now):
-            self.cold_limit.on_send(entry, now)
+        return self._count_rates(entry, frozenset(), now)
 
-    def on_written(self, entry: ServerEntry, attempt: int, now: float) -> None:
-        """Record that a request was written to a connection."""
+    def on_written(
+        self,
+        entry: ServerEntry,
+        attempt: int,
+        counted: frozenset[Ineligibility],
+        now: float,
+    ) -> None:
+        """Record that a request was written to a connection.
+
+        Rates that are in force only since it was placed count it now.
+        """
         self.get_evidence(entry).on_written(attempt, now)
+        self._count_rates(entry, counted, now)
+
+    def _count_rates(
+        self, entry: ServerEntry, counted: frozenset[Ineligibility], now: float
+    ) -> frozenset[Ineligibility]:
+        """Count a request against each rate in force at its server, but once."""
+        rates = set(counted)
+        has_limit = self.server_limits.get_limit(entry.server, now) is not None
+        if has_limit and Ineligibility.LIMITED not in counted:
+            self.server_limits.on_send(entry, now)
+            rates.add(Ineligibility.LIMITED)
+        if Ineligibility.COLD not in counted and self._is_cold(entry, now):
+            self.cold_limit.on_send(entry, now)
+            rates.add(Ineligibility.COLD)
+        return frozenset(rates)
 
     def on_overdue(self, entry: ServerEntry, due_at: float, now: float) -> None:
         """Tell other instances of a server whose answer was due at `due_at`."""
--- a/currantwharf/gateway/server_pools.py
+++ b/currantwharf/gateway/server_pools.py
@@ -66,7 +66,10 @@
                 pool.max_connections = self._connection_limit(entry.service)
 
     def close(self, server: str) -> None:
-        """Close the pool of a removed server; busy connections close when free."""
+        """Close the pool of a removed server; busy connections close when free.
+
+        Requests that wait for a connection to it are not sent.
+        """
         pool = self._pools.pop(server, None)
         if pool is not None:
             pool.close()
@@ -76,6 +79,11 @@
         for pool in self._pools.values():
             pool.close_idle(now)
 
+    def drop_unsendable(self, now: float) -> None:
+        """Fail the waiting requests that their servers may not get any more."""
+        for pool in list(self._pools.values()):
+            pool.drop_unsendable(now)
+
     def close_all(self) -> None:
         """Close the pools of all servers."""
         for server in list(self._pools):
--- a/currantwharf/http1/connection_pool.py
+++ b/currantwharf/http1/connection_pool.py
@@ -42,10 +42,11 @@
 class ConnectionPool:
     """Pool of up to `max_connections` connections, each for one exchange at a time.
 
-    Exchanges without a free connection wait in order of arrival. The connection used
-    most recently is used first, so that surplus ones reach their idle limit and are
-    closed. `on_connected` is called with the seconds that a connection took to open,
-    `on_unreachable` when one cannot be opened.
+    Exchanges without a free connection wait in order of arrival. Each is asked again
+    whether it may be sent when its turn comes; one that may not fails as not sent. The
+    connection used most recently is used first, so that surplus ones reach their idle
+    limit and are closed. `on_connected` is called with the seconds that a connection
+    took to open, `on_unreachable` when one cannot be opened.
     """
 
     def __init__(
@@ -118,6 +119,12 @@
         for exchange in waiting:
             exchange.finish(ConnectionFailure.NOT_SENT)
 
+    def drop_unsendable(self, now: float) -> None:
+        """Fail the waiting exchanges that may not be sent any more."""
+        for exchange in list(self._waiting):
+            if exchange in self._waiting and not _may_be_sent(exchange, now):
+                self.cancel_unsent(exchange)
+
     def preconnect(self) -> None:
         """Open a connection if there is none."""
         if not self._open and not self._connecting_count:
@@ -130,10 +137,14 @@
                 self._discard(conn)
 
     def close(self) -> None:
-        """Close the free connections now, and the others when they become free."""
+        """Close the free connections now, and the others when they become free.
+
+        Exchanges that wait for a connection are not sent any more.
+        """
         self._is_closed = True
         for conn in list(self._free):
             self._discard(conn)
+        self.cancel_all_unsent()
 
     def _pop_free_connection(
         self, exchange: Exchange, now: float
@@ -198,7 +209,7 @@
             exchange = self._waiting.popleft()
             if exchange.is_done:
                 continue
-            if exchange.deadline <= now:
+            if not _may_be_sent(exchange, now):
                 exchange.finish(ConnectionFailure.NOT_SENT)
                 continue
             if not conn.may_carry(exchange):
@@ -223,3 +234,7 @@
         if was_free:
             self._free.remove(conn)
         conn.close()
+
+
+def _may_be_sent(exchange: Exchange, now: float) -> bool:
+    return exchange.deadline > now and exchange.may_be_sent(now)
--- a/currantwharf/http1/exchange.py
+++ b/currantwharf/http1/exchange.py
@@ -13,6 +13,8 @@
 
     `encode` returns the bytes at the time of writing, since they contain the time left
     until the deadline. `matches` returns whether a response matches this request.
+    `may_be_sent` returns whether the request may still be sent, which is asked at the
+    time of writing, and while it waits for a connection.
     `deadline` is a reading of the monotonic clock in seconds.
     `needs_fresh_connection` asks for a connection that was used recently or is new.
     `is_written` is set once the request is on a connection, and `is_acknowledged` by
@@ -27,6 +29,7 @@
         "deadline",
         "needs_fresh_connection",
         "request_id",
+        "may_be_sent",
         "is_done",
         "is_written",
         "is_acknowledged",
@@ -41,12 +44,14 @@
         needs_fresh_connection: bool,
         on_result: Callable[[ExchangeResult], None],
         request_id: str = "",
+        may_be_sent: Callable[[float], bool] = lambda now: True,
     ) -> None:
         self.encode = encode
         self.matches = matches
         self.deadline = deadline
         self.needs_fresh_connection = needs_fresh_connection
         self.request_id = request_id
+        self.may_be_sent = may_be_sent
         self.is_done = False
         self.is_written = False
         self.is_acknowledged = False
--- a/currantwharf/http1/tests/test_connection_pool.py
+++ b/currantwharf/http1/tests/test_connection_pool.py
@@ -21,7 +21,13 @@
             on_unreachable=lambda: self.unreachable.append(True),
         )
 
-    def make_exchange(self, needs_fresh=False, deadline=10.0, request_id=""):
+    def make_exchange(
+        self,
+        needs_fresh=False,
+        deadline=10.0,
+        request_id="",
+        may_be_sent=lambda now: True,
+    ):
         return Exchange(
             lambda now: b"request",
             lambda response: True,
@@ -29,6 +35,7 @@
             needs_fresh,
             self.results.append,
             request_id,
+            may_be_sent,
         )
 
     def connect(self, number=-1):
@@ -129,6 +136,36 @@
         self.assertEqual(transport.value(), b"")
         self.assertEqual(self.results, [ConnectionFailure.NOT_SENT])
 
+    def test_exchange_that_waited_is_asked_again_before_it_is_written(self):
+        """Guards against requests to a server that drained while they waited."""
+        self.pool.send(self.make_exchange())
+        self.pool.send(self.make_exchange(may_be_sent=lambda now: now < 2.0))
+        self.pool.send(self.make_exchange())
+        protocol, transport = self.connect()
+        self.reactor.advance(3.0)
+        self.respond(protocol)
+        self.assertEqual(transport.value(), b"request" * 2)
+        self.assertEqual(self.results[1:], [ConnectionFailure.NOT_SENT])
+
+    def test_waiting_exchanges_that_may_not_be_sent_do_not_wait_on(self):
+        self.pool.send(self.make_exchange())
+        self.connect()
+        self.pool.send(self.make_exchange(may_be_sent=lambda now: now < 2.0))
+        self.pool.send(self.make_exchange())
+        self.pool.drop_unsendable(1.0)
+        self.assertEqual(self.results, [])
+        self.pool.drop_unsendable(2.0)
+        self.assertEqual(self.results, [ConnectionFailure.NOT_SENT])
+
+    def test_nothing_that_waits_is_sent_once_the_pool_is_closed(self):
+        self.pool.send(self.make_exchange())
+        protocol, transport = self.connect()
+        self.pool.send(self.make_exchange())
+        self.pool.close()
+        self.assertEqual(self.results, [ConnectionFailure.NOT_SENT])
+        self.respond(protocol)
+        self.assertEqual(transport.value(), b"request")
+
     def test_idle_connection_is_not_fresh(self):
         self.pool.max_connections = 2
         self.pool.send(self.make_exchange())
--- a/currantwharf/tests/gateway_builders.py
+++ b/currantwharf/tests/gateway_builders.py
@@ -18,8 +18,11 @@
 NEAR, FAR = "taipei-a", "taichung-a"
 
 
-def make_entry(server="s1", service="camphor", data_centre=NEAR, **fields):
-    return ServerEntry(server, service, ("127.0.0.1", 9000), data_centre, 2, **fields)
+def make_entry(
+    server="s1", service="camphor", data_centre=NEAR, address_port=9000, **fields
+):
+    address = ("127.0.0.1", address_port)
+    return ServerEntry(server, service, address, data_centre, 2, **fields)
 
 
 def make_chooser(entries, limits=None):
