Let a share of the repeats rise only after a whole window

Cause: what was spent is forgotten with the process. A started one held itself to a hundredth of the fixed number of repeats for 6 s, the time to discover the fleet, but the budget counts over 10 s. In general a share that grows, since another instance is gone, is spent on top of what that one spent.

Change: a share falls at once and rises only after a whole window, from nothing at the start (RisingShare). If the shares that are due add up to 1 at each moment, no window gets more than the fixed number, whichever instances start. The ratio of an instance's own requests is not held back, nor are the shares of cold servers and limits.

The end-to-end tests let their instances spend as if they had run for a minute, which is what they are about.

--- a/currantwharf/gateway/fleet_shares.py
+++ b/currantwharf/gateway/fleet_shares.py
@@ -9,15 +9,17 @@
 class FleetShares:
     """This instance's fractions of what all instances together may use.
 
-    `budget` is its share of the budgets, `shard_calls` that of a shard's servers and of
-    all connections, and `service_calls` that of the servers of other services, which
-    every instance calls alike.
+    `repeats` is its share of the budgets of repeats, `cold_calls` that of the requests
+    that cold servers bear, `shard_calls` that of a shard's servers and of all
+    connections, and `service_calls` that of the servers of other services, which every
+    instance calls alike.
 
-    >>> FleetShares(0.25, 0.05, 0.02).limit_to(0.01)
-    FleetShares(budget=0.01, shard_calls=0.05, service_calls=0.02)
+    >>> FleetShares(0.2, 0.25, 0.05, 0.02).limit_to(0.01)
+    FleetShares(repeats=0.01, cold_calls=0.01, shard_calls=0.05, service_calls=0.02)
     """
 
-    budget: float = 0.0
+    repeats: float = 0.0
+    cold_calls: float = 0.0
     shard_calls: float = 0.0
     service_calls: float = 0.0
 
@@ -28,7 +30,8 @@
         restart at the same time.
         """
         return FleetShares(
-            min(self.budget, budget),
+            min(self.repeats, budget),
+            min(self.cold_calls, budget),
             min(self.shard_calls, 1 / ASSUMED_CALLERS),
             min(self.service_calls, 1 / ASSUMED_CALLERS),
         )
--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -38,6 +38,7 @@
 from currantwharf.http1 import CallerConnection, RequestLimits
 from currantwharf.peers.peer_table import PeerTable
 from currantwharf.peers.peer_task import PeerTask
+from currantwharf.policy.rising_share import RisingShare
 from currantwharf.runtime.clock import Clock
 from currantwharf.runtime.component_log import component_logger
 from currantwharf.runtime.pause_watch import PauseWatch
@@ -171,6 +172,7 @@
         self._sweep = RepeatingTask(reactor, "sweep", self._on_sweep)
         self._lag_watch = LagWatch()
         self._shares = FleetShares()
+        self._repeat_share = RisingShare(clock.now())
         self._paused_at = -1e9
         self._started_at = clock.now()
         self._shutdown: Shutdown | None = None
@@ -283,13 +285,16 @@
     def _update_shares(self, now: float) -> None:
         """Update this instance's share of the fleet's budgets and connections."""
         share = self.peer_table.budget_share(now, self._cores)
-        shares = FleetShares(share, share, 1 / self.peer_table.fleet_size(now))
+        repeats = self._repeat_share.update(share, self._limits.repeat_window_s, now)
+        fleet_size = self.peer_table.fleet_size(now)
+        shares = FleetShares(repeats, share, share, 1 / fleet_size)
         is_starting = now - self._started_at < FLEET_DISCOVERY_S
         if is_starting or not self.peer_table.has_recent_contact(now):
             shares = shares.limit_to(1 / self._limits.assumed_fleet_size)
         if shares != self._shares:
             self._shares = shares
-            self.chooser.set_share(shares.budget)
+            self.chooser.set_repeat_share(shares.repeats)
+            self.chooser.cold_limit.share = shares.cold_calls
             self.pools.set_share(shares.shard_calls)
 
     def _share_evidence(self) -> None:
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -78,7 +78,7 @@
         self._region = region
         self._regions = regions
         self._rng = rng
-        self._fleet_share = 1.0 / limits.assumed_fleet_size
+        self._repeat_share = 0.0
         self._evidence_by_server: dict[str, ServerEvidence] = {}
         self._evidence_by_service: dict[str, ServiceEvidence] = {}
         self._budgets_by_service: dict[str, ExtraBudget] = {}
@@ -93,9 +93,9 @@
             budget.share, budget.allowance = ratio, allowance
             budget.window_s = window_s
 
-    def set_share(self, share: float) -> None:
-        """Set the fraction of the fleet's budgets that this instance may spend."""
-        self._fleet_share = self.cold_limit.share = share
+    def set_repeat_share(self, share: float) -> None:
+        """Set the fraction of the fleet's repeats that this instance may spend."""
+        self._repeat_share = share
         allowance = self._repeat_allowance()
         for budget in self._budgets_by_service.values():
             budget.allowance = allowance
@@ -488,7 +488,7 @@
         return ratio, self._repeat_allowance(), self._limits.repeat_window_s
 
     def _repeat_allowance(self) -> float:
-        return self._limits.repeat_slack * BUDGET_RATIO * self._fleet_share
+        return self._limits.repeat_slack * BUDGET_RATIO * self._repeat_share
 
 
 def _is_own_answer(answer: BackendAnswer) -> bool:
--- a/currantwharf/gateway/tests/test_cold_limit.py
+++ b/currantwharf/gateway/tests/test_cold_limit.py
@@ -58,7 +58,7 @@
         entry = make_entry("near", warm_up_s=3.0)
         chooser = make_chooser([entry])
         chooser.cold_limit.get_cold_rate = lambda service: 10.0
-        chooser.set_share(0.1)
+        chooser.cold_limit.share = 0.1
         chooser.on_registration(entry, 0.0)
         route = make_route()
         first = next(
@@ -75,7 +75,7 @@
         entry = make_entry("near", warm_up_s=3.0)
         chooser = make_chooser([entry])
         chooser.cold_limit.get_cold_rate = lambda service: 10.0
-        chooser.set_share(0.001)
+        chooser.cold_limit.share = 0.001
         chooser.on_registration(entry, 0.0)
         chooser.on_send(entry, 0, 0.0)
         chooser.on_result(make_answer(), entry, 0, 0.01)
@@ -86,7 +86,7 @@
         entry = make_entry("near")
         chooser = make_chooser([entry])
         chooser.cold_limit.get_cold_rate = lambda service: 10.0
-        chooser.set_share(0.001)
+        chooser.cold_limit.share = 0.001
         route = make_route()
         self.assertIsNone(chooser.find_ineligibility(entry, route, (), 0.0))
         chooser.on_send(entry, 0, 0.0)
--- a/currantwharf/gateway/tests/test_gateway.py
+++ b/currantwharf/gateway/tests/test_gateway.py
@@ -18,6 +18,7 @@
 from currantwharf.gateway.tests.test_registry_task import FakeStore
 from currantwharf.peers.hello import Hello
 from currantwharf.platform.backend_protocol import PlatformBackendWire
+from currantwharf.policy.extra_budget import WINDOW_S
 from currantwharf.tests.gateway_builders import config_change, make_route
 
 
@@ -27,6 +28,9 @@
         self.reactor.now = self.reactor.seconds
         self.reactor.time_since_boot = self.reactor.seconds
         self.reactor.advance(100.0)
+        self.start_gateway()
+
+    def start_gateway(self):
         self.store = FakeStore()
         instance_info = InstanceInfo("me", "h", "a", "r", {"a": "r"}, 1, 2, ())
         self.gateway = Gateway(
@@ -49,7 +53,7 @@
 
     def budget_share(self):
         self.gateway._on_sweep()
-        return self.gateway._shares.budget
+        return self.gateway._shares.cold_calls
 
     def test_shares_assume_a_large_fleet_after_the_start(self):
         assumed_size = GatewayLimits().assumed_fleet_size
@@ -60,6 +64,43 @@
         self.receive_hellos("x", "y", "z")
         self.assertEqual(self.budget_share(), 1 / 4)
 
+    def spend_repeats(self, seconds):
+        """Spend all repeats that are granted; return their times."""
+        spent = []
+        for _ in range(round(seconds * 10)):
+            self.receive_hellos("x", "y", "z")
+            self.gateway._on_sweep()
+            now = self.reactor.seconds()
+            while self.gateway.chooser.acquire_repeat("camphor", now) is None:
+                spent.append(now)
+            self.reactor.advance(0.1)
+        return spent
+
+    def test_restarted_instance_does_not_spend_its_repeats_a_second_time(self):
+        """Guards against a budget that is forgotten by a process that is killed."""
+        spent = self.spend_repeats(15.0)
+        for _ in range(3):
+            self.start_gateway()
+            spent += self.spend_repeats(7.0)
+        self.start_gateway()
+        spent += self.spend_repeats(25.0)
+        windows = [
+            sum(start <= at < start + WINDOW_S for at in spent) for start in spent
+        ]
+        self.assertLessEqual(max(windows), 200.0 / 4)
+        self.assertGreater(len(spent), 200.0 / 4)
+
+    def test_share_that_grows_is_spent_only_after_a_window(self):
+        """Guards against repeats that those have spent who had the rest before."""
+        self.spend_repeats(15.0)
+        before = self.gateway._shares.repeats
+        self.assertEqual(before, 1 / 4)
+        self.gateway.peer_table.budget_share = lambda now, cores: 1 / 2
+        self.spend_repeats(WINDOW_S - 0.5)
+        self.assertEqual(self.gateway._shares.repeats, before)
+        self.spend_repeats(1.0)
+        self.assertEqual(self.gateway._shares.repeats, 1 / 2)
+
     def test_limits_of_a_service_that_all_instances_call_are_shared_alike(self):
         shards = ("shard-0",)
         routes = (make_route(), make_route(shards))
--- a/currantwharf/gateway/tests/test_server_choice.py
+++ b/currantwharf/gateway/tests/test_server_choice.py
@@ -120,7 +120,7 @@
     def test_reload_does_not_renew_the_repeat_budget(self):
         limits = GatewayLimits(repeat_ratio=0.0, repeat_slack=4.0)
         self.chooser.set_limits(limits)
-        self.chooser.set_share(1.0)
+        self.chooser.set_repeat_share(1.0)
         acquire = self.chooser.acquire_repeat
         allowed = [acquire("camphor", 0.0) for _ in range(8)].count(None)
         self.assertEqual(allowed, 3)
@@ -201,7 +201,7 @@
     def test_repeat_budget_is_limited_to_the_share_of_the_instance(self):
         limits = GatewayLimits(repeat_ratio=0.2, repeat_slack=40.0)
         chooser = make_chooser([self.near], limits)
-        chooser.set_share(0.1)
+        chooser.set_repeat_share(0.1)
         for _ in range(100):
             chooser.on_request("camphor", 0.0)
         repeats = 0
--- a/currantwharf/platform/tests/test_end_to_end.py
+++ b/currantwharf/platform/tests/test_end_to_end.py
@@ -15,6 +15,7 @@
 from currantwharf.http1 import ConnectionPool, Exchange, encode_request
 from currantwharf.platform.platform_instance import MAX_ACCEPT_DELAY_S, PlatformInstance
 from currantwharf.platform.platform_settings import load_platform_settings
+from currantwharf.policy.rising_share import RisingShare
 from currantwharf.runtime.listening_socket import open_listening_socket
 from currantwharf.standin.platform_site import ORDERS_SERVICE, RESTART_S, PlatformSite
 from currantwharf.tests.loopback import result_of, run_for, run_until
@@ -41,6 +42,17 @@
         self.sent_count = 0
         run_until(lambda: all(i.gateway.is_ready for i in self.instances))
         run_until(lambda: all(self.has_full_view(i) for i in self.instances))
+        for instance in self.instances:
+            self.let_spend_repeats(instance.gateway)
+
+    def let_spend_repeats(self, gateway):
+        """Have an instance spend its repeats as if it had run for a minute."""
+        now = reactor.seconds()
+        cores = self.settings[0].instance_info.cores
+        share = gateway.peer_table.budget_share(now, cores)
+        gateway._repeat_share = RisingShare(now - 120.0)
+        gateway._repeat_share.update(share, 10.0, now - 60.0)
+        gateway._update_shares(now)
 
     def has_full_view(self, instance):
         """Return whether an instance knows the other instance and all servers."""
--- a/currantwharf/tests/gateway_builders.py
+++ b/currantwharf/tests/gateway_builders.py
@@ -30,7 +30,9 @@
     for entry in entries:
         directory.put(entry, 1)
     limits = limits or GatewayLimits(repeat_ratio=0.2, repeat_slack=120.0)
-    return ServerChooser(directory, limits, "taipei", REGIONS, random.Random(1))
+    chooser = ServerChooser(directory, limits, "taipei", REGIONS, random.Random(1))
+    chooser.set_repeat_share(1 / limits.assumed_fleet_size)
+    return chooser
 
 
 def make_route(shards=(), idempotent=True, **fields):
