Wait for a port that is in use instead of ending the process

Cause: each port was opened once, and a failure ended the process, which the platform then starts again into the same. A predecessor that still stops or an outgoing connection is enough.

Change: a port that is in use is a line in the log and another try, after 0.1 to 2 s. The instance is not ready until the callers' port is open; the others can wait.

--- a/currantwharf/cli/gateway_command.py
+++ b/currantwharf/cli/gateway_command.py
@@ -1,5 +1,6 @@
 """The command `gateway`, which runs an instance on the platform."""
 
+import contextlib
 import gc
 import os
 import sys
@@ -7,7 +8,6 @@
 
 import click
 
-from currantwharf.cli.exit_code import ExitCode
 from currantwharf.cli.unwrap_or_exit import unwrap_or_exit
 from currantwharf.platform.names import SETTINGS_VARIABLE
 from currantwharf.platform.platform_settings import load_platform_settings
@@ -31,11 +31,10 @@
     # load only delays the start.
     gc.disable()
     settings = unwrap_or_exit(load_platform_settings(path))
-    try:
+    callers_socket = None
+    # Where the port is in use, the instance opens it later.
+    with contextlib.suppress(OSError):
         callers_socket = open_listening_socket(settings.caller_address)
-    except OSError as exc:
-        click.echo(f"the callers' port can't be opened: {exc}", err=True)
-        sys.exit(ExitCode.SETTINGS)
     from twisted.internet import reactor
 
     from currantwharf.platform.platform_instance import serve
@@ -47,4 +46,4 @@
     set_up_logs("info", settings.instance_info.instance, stream)
     gc.freeze()
     gc.enable()
-    sys.exit(serve(settings, path, reactor, callers_socket))
+    serve(settings, path, reactor, callers_socket)
--- a/currantwharf/peers/peer_task.py
+++ b/currantwharf/peers/peer_task.py
@@ -25,6 +25,7 @@
 from currantwharf.peers.report_datagram import decode_reports, encode_reports
 from currantwharf.runtime.clock import Clock
 from currantwharf.runtime.component_log import component_logger
+from currantwharf.runtime.open_when_free import open_when_free
 from currantwharf.runtime.repeating_task import RepeatingTask
 
 GOSSIP_INTERVAL_S = 0.5
@@ -102,9 +103,12 @@
         self._rounds = RepeatingTask(reactor, "gossip", self._on_round)
 
     def start(self) -> None:
-        """Open the socket and start the gossip rounds."""
-        self._reactor.listenUDP(
-            self._instance_info.gossip_port, self, self._instance_info.host
+        """Open the socket, once its port is free, and start the gossip rounds."""
+        info = self._instance_info
+        open_when_free(
+            self._reactor,
+            "gossip",
+            lambda: self._reactor.listenUDP(info.gossip_port, self, info.host),
         )
         self._rounds.start(GOSSIP_INTERVAL_S, now=True)
 
--- a/currantwharf/platform/platform_instance.py
+++ b/currantwharf/platform/platform_instance.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from result import Err
-from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import Factory
 
 from currantwharf.gateway.gateway import Gateway
@@ -26,9 +25,11 @@
 from currantwharf.runtime.clock import SystemClock
 from currantwharf.runtime.component_log import component_logger
 from currantwharf.runtime.listening_socket import BACKLOG
+from currantwharf.runtime.open_when_free import open_when_free
 
 METRICS_PORT = 9464  # the port commonly used by metrics exporters
 METRICS_CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4")
+CALLERS_PORT = "callers"  # the name of the port for callers
 MAX_ACCEPT_DELAY_S = 0.5  # time to wait for a configuration after the start
 
 RequestHandler = Callable[[HttpRequest, Responder], None]
@@ -38,8 +39,10 @@
 class PlatformInstance:
     """One instance of the gateway and its listening ports.
 
-    A `metrics_port` of 0 takes any free port, as tests do. `caller_socket` is a socket
-    that already listens for callers. Connections of callers are accepted as soon as a
+    `ports` are the open ones by name. A port that is in use is opened once it is free;
+    until that of the callers is open, the instance is not ready. A `metrics_port` of 0
+    takes any free port, as tests do. `caller_socket` is a socket that already listens
+    for callers. Connections of callers are accepted as soon as a
     configuration is known. Without one they are accepted after `MAX_ACCEPT_DELAY_S`,
     and their requests are refused with the time after which to retry.
     """
@@ -63,13 +66,14 @@
             PlatformBackendWire(),
             random.Random(os.urandom(16)),
         )
-        self.ports: list[Any] = []
+        self.ports: dict[str, Any] = {}
         self._settings = settings
         self._reactor = reactor
         self._clock = clock
         self._metrics_port = metrics_port
         self._caller_socket = caller_socket
         self._is_accepting = False
+        self._is_stopping = False
         self._caller_protocol = CallerProtocol(
             self.gateway.entry_point,
             self.gateway.relay,
@@ -78,24 +82,20 @@
         )
 
     def listen(self) -> None:
-        """Open all ports, the callers' last; CannotListenError if one is in use."""
-        settings, gateway = self._settings, self.gateway
-        metrics_address = (settings.instance_info.host, self._metrics_port)
-        self._listen(
-            settings.peer_address,
-            self._build_internal_factory(gateway.peers.answer_fetch),
-        )
-        self._listen(
-            metrics_address, self._build_internal_factory(self._handle_metrics)
-        )
-        relay_address = (settings.instance_info.host, settings.instance_info.relay_port)
-        self._listen(
-            relay_address,
-            self._build_internal_factory(self._caller_protocol.handle_relayed),
-        )
-        self._listen(
-            settings.readiness_address, self._build_internal_factory(self._handle_ready)
+        """Open all ports, the callers' last; one that is in use is opened later."""
+        settings, info = self._settings, self._settings.instance_info
+        handlers: tuple[tuple[str, Address, RequestHandler], ...] = (
+            ("peers", settings.peer_address, self.gateway.peers.answer_fetch),
+            ("metrics", (info.host, self._metrics_port), self._handle_metrics),
+            (
+                "relay",
+                (info.host, info.relay_port),
+                self._caller_protocol.handle_relayed,
+            ),
+            ("readiness", settings.readiness_address, self._handle_ready),
         )
+        for name, address, handle in handlers:
+            self._listen(name, address, self._build_internal_factory(handle))
         self._listen_for_callers()
 
     def start(self) -> None:
@@ -107,6 +107,7 @@
 
     def stop(self, on_stopped: Callable[[], None]) -> None:
         """Stop gracefully, then call `on_stopped`."""
+        self._is_stopping = True
         self.gateway.stop(self._close_callers_port, on_stopped)
 
     def reload(self, path: Path) -> None:
@@ -122,26 +123,54 @@
         self.gateway.set_limits(settings.limits, settings.instance_info.seeds)
         log.info("settings reloaded")
 
-    def _listen(self, address: Address, build: Callable[[], CallerConnection]) -> None:
+    def _listen(
+        self,
+        name: str,
+        address: Address,
+        build: Callable[[], CallerConnection],
+        on_open: Callable[[Any], None] = lambda port: None,
+    ) -> None:
         factory = Factory.forProtocol(build)
-        port = self._reactor.listenTCP(address[1], factory, BACKLOG, address[0])
-        self.ports.append(port)
+
+        def add(port: Any) -> None:
+            self.ports[name] = port
+            on_open(port)
+
+        open_when_free(
+            self._reactor,
+            name,
+            lambda: self._reactor.listenTCP(address[1], factory, BACKLOG, address[0]),
+            add,
+            lambda: not self._is_stopping,
+        )
 
     def _listen_for_callers(self) -> None:
         if self._caller_socket is None:
-            self._listen(self._settings.caller_address, self._build_caller_connection)
-        else:
-            factory = Factory.forProtocol(self._build_caller_connection)
-            fd = self._caller_socket.fileno()
-            port = self._reactor.adoptStreamPort(fd, socket.AF_INET, factory)
-            self.ports.append(port)
-            self._caller_socket.close()
-        self.ports[-1].stopReading()
+            self._listen(
+                CALLERS_PORT,
+                self._settings.caller_address,
+                self._build_caller_connection,
+                self._hold_callers,
+            )
+            return
+        factory = Factory.forProtocol(self._build_caller_connection)
+        fd = self._caller_socket.fileno()
+        port = self._reactor.adoptStreamPort(fd, socket.AF_INET, factory)
+        self.ports[CALLERS_PORT] = port
+        self._caller_socket.close()
+        self._hold_callers(port)
+
+    def _hold_callers(self, port: Any) -> None:
+        """Accept no caller's connection yet, unless callers are being served."""
+        if not self._is_accepting:
+            port.stopReading()
 
     def _accept_callers(self) -> None:
-        port = self.ports[-1]
-        if not self._is_accepting and port.connected:
-            self._is_accepting = True
+        if self._is_accepting:
+            return
+        self._is_accepting = True
+        port = self.ports.get(CALLERS_PORT)
+        if port is not None and port.connected:
             port.startReading()
 
     def _close_callers_port(self) -> None:
@@ -149,7 +178,9 @@
 
         Closing the port alone would reset their connections.
         """
-        port = self.ports[-1]
+        port = self.ports.get(CALLERS_PORT)
+        if port is None:
+            return
         if port.connected:
             port.numberAccepts = BACKLOG
             port.doRead()
@@ -179,25 +210,28 @@
         )
 
     def _handle_ready(self, request: HttpRequest, responder: Responder) -> None:
-        handle_readiness_check(request, responder, lambda: self.gateway.is_ready)
+        handle_readiness_check(request, responder, self._is_ready)
+
+    def _is_ready(self) -> bool:
+        return self.gateway.is_ready and CALLERS_PORT in self.ports
 
     def _handle_metrics(self, request: HttpRequest, responder: Responder) -> None:
         responder.finish(200, (METRICS_CONTENT_TYPE,), self.gateway.metrics.render())
 
 
 def serve(
-    settings: PlatformSettings, path: Path, reactor: Any, caller_socket: socket.socket
-) -> int:
-    """Run an instance in this process and return its exit code.
-
-    `caller_socket` is a socket that already listens for callers.
+    settings: PlatformSettings,
+    path: Path,
+    reactor: Any,
+    caller_socket: socket.socket | None,
+) -> None:
+    """Run an instance in this process until a stop signal.
+
+    `caller_socket` is a socket that already listens for callers, or None if their port
+    was in use.
     """
     instance = PlatformInstance(settings, reactor, caller_socket=caller_socket)
-    try:
-        instance.listen()
-    except CannotListenError as exc:
-        log.error("cannot open a port; exiting", extra={"why": str(exc)})
-        return 3
+    instance.listen()
 
     def stop(*_: object) -> None:
         reactor.callFromThread(instance.stop, reactor.stop)
@@ -212,4 +246,3 @@
     instance.start()
     reactor.run(installSignalHandlers=False)
     log.info("stopped")
-    return 0
--- a/currantwharf/platform/tests/test_end_to_end.py
+++ b/currantwharf/platform/tests/test_end_to_end.py
@@ -13,7 +13,11 @@
 from currantwharf.gateway.crash_watch import CRASHES_TO_HOLD
 from currantwharf.gateway.shutdown import BALANCER_DETECTION_S
 from currantwharf.http1 import ConnectionPool, Exchange, encode_request
-from currantwharf.platform.platform_instance import MAX_ACCEPT_DELAY_S, PlatformInstance
+from currantwharf.platform.platform_instance import (
+    CALLERS_PORT,
+    MAX_ACCEPT_DELAY_S,
+    PlatformInstance,
+)
 from currantwharf.platform.platform_settings import load_platform_settings
 from currantwharf.policy.rising_share import RisingShare
 from currantwharf.runtime.listening_socket import open_listening_socket
@@ -75,7 +79,7 @@
         instance.gateway.peers.transport.stopListening()
         instance.gateway.registry_task._is_reader = lambda: False
         instance.gateway.pools.close_all()
-        for port in instance.ports:
+        for port in instance.ports.values():
             port.stopListening()
         for conn in list(instance.gateway.caller_connections):
             conn.transport.abortConnection()
@@ -374,13 +378,13 @@
         instance.gateway._shutdown._started_at -= BALANCER_DETECTION_S
         instance.gateway._on_sweep()
         run_until(lambda: stopped)
-        self.assertFalse(instance.ports[-1].connected)
+        self.assertFalse(instance.ports[CALLERS_PORT].connected)
         for caller in callers:
             self.assertTrue(caller.recv(100).startswith(b"HTTP/1.1 200 OK"))
 
     def test_metrics_count_calls(self):
         result_of(self.send(b"/lookup/x"))
-        port = self.instances[0].ports[1].getHost()
+        port = self.instances[0].ports["metrics"].getHost()
         response = result_of(self.send(b"/metrics", port=(port.host, port.port)))
         self.assertIn(
             b'currantwharf_calls_total{class="lookup",outcome="answered"', response.body
