Load settings again that the platform is still writing

Reproduced at: a settings file that is empty or cut when it is read, and whole 0.4 s later, ends the process at once with exit 3. At a reload such settings were reported and then ignored until the next signal.

Cause: the file was read once, at whatever moment.

Test first: test_settings_that_are_still_being_written_are_waited_for and test_settings_that_are_cut_at_a_reload_are_loaded_once_they_are_whole, failing at the commit before (3 is not None: found Expected `object`, got `null`; not reloaded).

--- a/currantwharf/cli/gateway_command.py
+++ b/currantwharf/cli/gateway_command.py
@@ -8,9 +8,9 @@
 
 import click
 
+from currantwharf.cli.load_at_start import load_settings_at_start
 from currantwharf.cli.unwrap_or_exit import unwrap_or_exit
 from currantwharf.platform.names import SETTINGS_VARIABLE
-from currantwharf.platform.platform_settings import load_platform_settings
 from currantwharf.runtime.listening_socket import open_listening_socket
 
 
@@ -30,7 +30,7 @@
     # Imported objects live as long as the process, so collecting garbage while they
     # load only delays the start.
     gc.disable()
-    settings = unwrap_or_exit(load_platform_settings(path))
+    settings = unwrap_or_exit(load_settings_at_start(path))
     callers_socket = None
     # Where the port is in use, the instance opens it later.
     with contextlib.suppress(OSError):
--- a/currantwharf/platform/platform_instance.py
+++ b/currantwharf/platform/platform_instance.py
@@ -30,6 +30,8 @@
 METRICS_PORT = 9464  # the port commonly used by metrics exporters
 METRICS_CONTENT_TYPE = (b"content-type", b"text/plain; version=0.0.4")
 CALLERS_PORT = "callers"  # the name of the port for callers
+RELOAD_ATTEMPTS = 5
+RELOAD_INTERVAL_S = 0.5  # between attempts to load settings that can't be loaded
 MAX_ACCEPT_DELAY_S = 0.5  # time to wait for a configuration after the start
 
 RequestHandler = Callable[[HttpRequest, Responder], None]
@@ -110,14 +112,21 @@
         self._is_stopping = True
         self.gateway.stop(self._close_callers_port, on_stopped)
 
-    def reload(self, path: Path) -> None:
-        """Load the settings file again and apply it, if it is valid."""
+    def reload(self, path: Path, attempts: int = RELOAD_ATTEMPTS) -> None:
+        """Load the settings file again and apply it, if it is valid.
+
+        The platform may still be writing it, so it is loaded `attempts` times at most.
+        """
         loaded = load_platform_settings(path)
         if isinstance(loaded, Err):
             log.error(
                 "settings file cannot be loaded; keeping the settings in force",
-                extra={"why": str(loaded.unwrap_err())},
+                extra={"why": str(loaded.unwrap_err()), "attempts_left": attempts - 1},
             )
+            if attempts > 1 and not self._is_stopping:
+                self._reactor.callLater(
+                    RELOAD_INTERVAL_S, self.reload, path, attempts - 1
+                )
             return
         settings = loaded.unwrap()
         self.gateway.set_limits(settings.limits, settings.instance_info.seeds)
--- a/currantwharf/platform/tests/test_start_faults.py
+++ b/currantwharf/platform/tests/test_start_faults.py
@@ -1,3 +1,4 @@
+import signal
 import socket
 import subprocess
 import sys
@@ -100,6 +101,29 @@
             self.assert_runs()
         self.assert_serves()
 
+    def test_settings_that_are_still_being_written_are_waited_for(self):
+        """Guards against a start that reads a file which is empty or cut."""
+        whole = self.path.read_text()
+        self.path.write_text("")
+        self.start()
+        run_for(START_S / 2)
+        self.path.write_text(whole[: len(whole) // 2])
+        run_for(START_S / 2)
+        self.assert_runs()
+        self.path.write_text(whole)
+        self.assert_serves()
+
+    def test_settings_that_are_cut_at_a_reload_are_loaded_once_they_are_whole(self):
+        self.start()
+        self.assert_serves()
+        whole = self.path.read_text()
+        self.path.write_text(whole[: len(whole) // 2])
+        self.process.send_signal(signal.SIGHUP)
+        run_until(lambda: "cannot be loaded" in self.log.read_text())
+        self.path.write_text(whole)
+        run_until(lambda: "settings reloaded" in self.log.read_text())
+        self.assert_runs()
+
     def test_instance_serves_without_its_metrics_port(self):
         """Guards against two instances at one address, of which the second ended."""
         with socket.socket() as taken:
