Hold signals back until a starting gateway can handle them

Reproduced at: SIGHUP 0.01 to 0.3 s after the start ends the process, six of six; so does SIGTERM, with -15.

Cause: handlers were installed when the reactor ran, a third of a second after the start and later on a slow machine. The platform sends SIGHUP whenever settings change.

Change: signals are held back from the first module on. A reload that was held back is made once the reactor runs; a stop ends the process with exit code 0 before it serves, with a line in the log.

--- a/currantwharf/__main__.py
+++ b/currantwharf/__main__.py
@@ -1,6 +1,18 @@
 """Run the command line with `python -m currantwharf`."""
 
-from currantwharf.cli import main
+import sys
+
+from currantwharf.runtime.early_signals import hold_signals
+
+
+def run() -> None:
+    """Run the command line; the gateway gets its signals once it can handle them."""
+    if sys.argv[1:2] == ["gateway"]:
+        hold_signals()
+    from currantwharf.cli import main
 
-if __name__ == "__main__":
     main(prog_name="currantwharf")
+
+
+if __name__ == "__main__":
+    run()
--- a/currantwharf/cli/gateway_command.py
+++ b/currantwharf/cli/gateway_command.py
@@ -40,10 +40,14 @@
     from currantwharf.platform.platform_instance import serve
     from currantwharf.runtime.bounded_stream import BoundedStream
     from currantwharf.runtime.clock import SystemClock
-    from currantwharf.runtime.component_log import set_up_logs
+    from currantwharf.runtime.component_log import component_logger, set_up_logs
+    from currantwharf.runtime.early_signals import has_held_stop
 
     stream = BoundedStream(sys.stdout.fileno(), SystemClock().now)
     set_up_logs("info", settings.instance_info.instance, stream)
     gc.freeze()
     gc.enable()
+    if has_held_stop():
+        component_logger("serve").info("stopped during the start")
+        return
     serve(settings, path, reactor, callers_socket)
--- a/currantwharf/platform/platform_instance.py
+++ b/currantwharf/platform/platform_instance.py
@@ -24,6 +24,7 @@
 from currantwharf.platform.store_client import StoreClient
 from currantwharf.runtime.clock import SystemClock
 from currantwharf.runtime.component_log import component_logger
+from currantwharf.runtime.early_signals import handle_signals
 from currantwharf.runtime.listening_socket import BACKLOG
 from currantwharf.runtime.open_when_free import open_when_free
 
@@ -242,16 +243,14 @@
     instance = PlatformInstance(settings, reactor, caller_socket=caller_socket)
     instance.listen()
 
-    def stop(*_: object) -> None:
-        reactor.callFromThread(instance.stop, reactor.stop)
-
-    def reload(*_: object) -> None:
-        reactor.callFromThread(instance.reload, path)
+    def handle(number: int) -> None:
+        if number == signal.SIGHUP:
+            reactor.callFromThread(instance.reload, path)
+        else:
+            reactor.callFromThread(instance.stop, reactor.stop)
 
     # The reactor's own signal handlers would cut off running requests.
-    reactor.callWhenRunning(signal.signal, signal.SIGTERM, stop)
-    reactor.callWhenRunning(signal.signal, signal.SIGINT, stop)
-    reactor.callWhenRunning(signal.signal, signal.SIGHUP, reload)
+    reactor.callWhenRunning(handle_signals, handle)
     instance.start()
     reactor.run(installSignalHandlers=False)
     log.info("stopped")
--- a/currantwharf/platform/tests/test_start_faults.py
+++ b/currantwharf/platform/tests/test_start_faults.py
@@ -1,3 +1,4 @@
+import os
 import signal
 import socket
 import subprocess
@@ -124,6 +125,40 @@
         run_until(lambda: "settings reloaded" in self.log.read_text())
         self.assert_runs()
 
+    def start_until_it_reads_its_settings(self):
+        """Start a gateway that waits for its settings; return what to write to it."""
+        whole = self.path.read_text()
+        self.path.unlink()
+        os.mkfifo(self.path)
+        self.start()
+        pipe = self.path.open("w")
+        self.addCleanup(pipe.close)
+
+        def provide_settings():
+            self.path.unlink()
+            self.path.write_text(whole)
+            pipe.write(whole)
+            pipe.close()
+
+        return provide_settings
+
+    def test_reloads_during_the_start_do_not_end_the_process(self):
+        """Guards against a SIGHUP that comes before there is a handler."""
+        provide_settings = self.start_until_it_reads_its_settings()
+        self.process.send_signal(signal.SIGHUP)
+        provide_settings()
+        for _ in range(10):
+            self.process.send_signal(signal.SIGHUP)
+            run_for(0.05)
+        self.assert_serves()
+        run_until(lambda: "settings reloaded" in self.log.read_text())
+
+    def test_stop_during_the_start_ends_it_in_order(self):
+        provide_settings = self.start_until_it_reads_its_settings()
+        self.process.send_signal(signal.SIGTERM)
+        provide_settings()
+        self.assertEqual(self.process.wait(MAX_WAIT_S), 0)
+
     def test_instance_serves_without_its_metrics_port(self):
         """Guards against two instances at one address, of which the second ended."""
         with socket.socket() as taken:
