--- a/currantwharf/platform/tests/test_start_faults.py
+++ b/currantwharf/platform/tests/test_start_faults.py
@@ -159,6 +159,19 @@
         provide_settings()
         self.assertEqual(self.process.wait(MAX_WAIT_S), 0)
 
+    def test_closed_standard_streams_do_not_end_the_process(self):
+        """Guards against a log that can't be written, and sockets in its place."""
+        self.log.touch()
+        command = f"'{sys.executable}' -m currantwharf gateway"
+        shell = f"exec {command} --settings '{self.path}' <&- >&- 2>&-"
+        self.process = subprocess.Popen(["sh", "-c", shell])
+        self.addCleanup(self.process.wait)
+        self.addCleanup(self.process.kill)
+        self.assert_serves()
+        for descriptor in (0, 1, 2):
+            opened = os.readlink(f"/proc/{self.process.pid}/fd/{descriptor}")
+            self.assertEqual(opened, os.devnull)
+
     def test_instance_serves_without_its_metrics_port(self):
         """Guards against two instances at one address, of which the second ended."""
         with socket.socket() as taken:
