Free what a closed connection holds without the garbage collector

Cause: a reader that gave up gave its count of bytes back, but reader and parser refer to each other, so the bytes stayed until the garbage collector ran, which goes by counts of objects. So the budget of 32 MB did not bound what the process holds. On related paths: the parser keeps a header that has not ended; an exception and the frame that names it keep each other, with the data; a header of eight bytes takes a hundred.

Change: a closed reader lets go of its parser and of all it has read, bodies are one buffer, a message has 200 headers at most, and exceptions keep nothing.

--- a/currantwharf/http1/request_reader.py
+++ b/currantwharf/http1/request_reader.py
@@ -14,6 +14,8 @@
 # Bytes on the wire for each byte of a header's name and value: a line with a name of
 # one letter and no value takes four.
 MAX_FRAMING_BYTES_PER_HEADER_BYTE = 4
+# A short header takes a hundred bytes of memory, ten times what it takes on the wire.
+MAX_HEADERS = 200
 
 
 class BadRequest(Exception):  # noqa: N818
@@ -51,15 +53,22 @@
         Raises BadRequest for a request that is rejected; requests completed before it
         remain available from `pop_completed`.
         """
+        if self._parser is None:
+            return []
         if not self._meter.add(len(data)):
             raise BadRequest(503, "not run: too many bytes are held")
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as exc:
             cause = exc.__context__
+            error = BadRequest(400, "not a request")
             if isinstance(cause, BadRequest):
-                raise cause from None
-            raise BadRequest(400, "not a request") from exc
+                error = cause
+            try:
+                raise error from None
+            finally:
+                # An exception and the frame that names it would keep each other.
+                del cause, error
         except httptools.HttpParserUpgrade as exc:
             raise BadRequest(400, "upgrades are not supported") from exc
         except httptools.HttpParserError as exc:
@@ -74,7 +83,14 @@
         return completed
 
     def close(self) -> None:
-        """Release the memory of a request that will not be completed."""
+        """Release the memory of what will not be completed; nothing more is read.
+
+        Reader and parser refer to each other, so if they did not let go, what they hold
+        would only be freed by the garbage collector, which counts objects, not bytes.
+        """
+        self._reset()
+        self._completed = []
+        self._parser = None
         self._meter.reset()
 
     def _max_framing_bytes(self) -> int:
@@ -86,7 +102,7 @@
     def _reset(self) -> None:
         self._target: list[bytes] = []
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._head_size = 0
         self._body_size = 0
 
@@ -111,6 +127,8 @@
         self._head_size += len(name) + len(value)
         if self._head_size > self.limits.header_bytes:
             raise BadRequest(431, "the headers are too large")
+        if len(self._headers) == MAX_HEADERS:
+            raise BadRequest(431, f"there are more than {MAX_HEADERS} headers")
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -128,7 +146,7 @@
         self._meter.add_body(len(body))
         self._body_size += len(body)
         self._check_body_size(self._body_size)
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Complete the request."""
@@ -137,11 +155,12 @@
             self._parser.get_method(),
             b"".join(self._target),
             tuple(self._headers),
-            b"".join(self._body),
+            bytes(self._body),
             self._parser.should_keep_alive(),
         )
         self._completed.append(request)
         self._meter.reset()
+        self._reset()
 
     def _check_body_size(self, size: int) -> None:
         if size > self.limits.body_bytes:
--- a/currantwharf/http1/response_reader.py
+++ b/currantwharf/http1/response_reader.py
@@ -12,6 +12,8 @@
 # Bytes of a response that are not its body, interim responses included: several times
 # the head that lists the signatures of 500 shards.
 MAX_FRAMING_BYTES = 65_536
+# A short header takes a hundred bytes of memory, ten times what it takes on the wire.
+MAX_HEADERS = 200
 
 
 class BadResponse(Exception):  # noqa: N818
@@ -42,7 +44,7 @@
         self._max_bytes = max_bytes
         self._parser: Any = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
         self._completed: list[HttpResponse] = []
         self._meter = ReceiveMeter(budget)
@@ -53,17 +55,22 @@
         Raises BadResponse for bytes that are not a response or come without end;
         responses completed before them remain available from `pop_completed`.
         """
+        if self._parser is None:
+            return []
         if not self._meter.add(len(data)):
             raise _too_large("too many bytes are held by all connections")
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError as exc:
             cause = exc.__context__
-            raise (
-                cause
-                if isinstance(cause, BadResponse)
-                else BadResponse("not a response")
-            ) from exc
+            error = BadResponse("not a response")
+            if isinstance(cause, BadResponse):
+                error = cause
+            try:
+                raise error from None
+            finally:
+                # An exception and the frame that names it would keep each other.
+                del cause, error
         except httptools.HttpParserUpgrade as exc:
             raise BadResponse("an upgrade was not asked for") from exc
         except httptools.HttpParserError as exc:
@@ -78,7 +85,14 @@
         return completed
 
     def close(self) -> None:
-        """Release the memory of a response that will not be completed."""
+        """Release the memory of what will not be completed; nothing more is read.
+
+        Reader and parser refer to each other, so if they did not let go, what they hold
+        would only be freed by the garbage collector, which counts objects, not bytes.
+        """
+        self._drop_kept()
+        self._completed = []
+        self._parser = None
         self._meter.reset()
 
     def finish(self) -> HttpResponse | None:
@@ -93,14 +107,13 @@
     def on_message_begin(self) -> None:
         """Start a response."""
         self.is_between_messages = False
-        self._headers = []
-        self._body = []
-        self._size = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
         self._size += len(name) + len(value)
         self._check_size()
+        if len(self._headers) == MAX_HEADERS:
+            raise _too_large(f"the response has more than {MAX_HEADERS} headers")
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -119,7 +132,7 @@
         self._meter.add_body(len(body))
         self._size += len(body)
         self._check_size()
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Complete the response; an interim one is dropped."""
@@ -128,9 +141,15 @@
         if status < 200:
             self.has_interim_response = True
         else:
-            response = HttpResponse(status, tuple(self._headers), b"".join(self._body))
+            response = HttpResponse(status, tuple(self._headers), bytes(self._body))
             self._completed.append(response)
             self._meter.reset()
+        self._drop_kept()
+
+    def _drop_kept(self) -> None:
+        self._headers = []
+        self._body = bytearray()
+        self._size = 0
 
     def _check_size(self) -> None:
         if self._size > self._max_bytes:
--- a/currantwharf/http1/tests/test_endless_messages.py
+++ b/currantwharf/http1/tests/test_endless_messages.py
@@ -1,5 +1,7 @@
 """Messages without end: every reader gives up after a bounded number of bytes."""
 
+import gc
+import tracemalloc
 import unittest
 
 from hypothesis import given, settings
@@ -73,6 +75,47 @@
                 reader.close()
                 self.assertEqual(budget.used, 0)
 
+    def measure_held_bytes(self, make_reader, message, error):
+        """Return the memory held, at most, by connections that are opened again.
+
+        The garbage collector is off, as it is between two of its runs.
+        """
+        beginning, repeated = message
+        gc.disable()
+        self.addCleanup(gc.enable)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        readers = [(make_reader(), False) for _ in range(20)]
+        for _ in range(40):
+            for number, (reader, has_begun) in enumerate(readers):
+                try:
+                    reader.feed(repeated if has_begun else beginning + repeated)
+                    readers[number] = reader, True
+                except error:
+                    reader.close()
+                    readers[number] = make_reader(), False
+        held = tracemalloc.get_traced_memory()[1]
+        self.doCleanups()
+        return held
+
+    def test_closed_connections_hold_nothing(self):
+        """Guards against memory that only the garbage collector frees."""
+        for kinds, make_reader, error in (
+            (ENDLESS_RESPONSES, self.make_response_reader, BadResponse),
+            (ENDLESS_REQUESTS, self.make_request_reader, BadRequest),
+        ):
+            for kind, message in kinds.items():
+                with self.subTest(kind):
+                    self.budget = MemoryBudget(1_000_000)
+                    held = self.measure_held_bytes(make_reader, message, error)
+                    self.assertLess(held, 2 * self.budget.max_bytes)
+
+    def make_response_reader(self):
+        return ResponseReader(MAX_RESPONSE_BYTES, self.budget)
+
+    def make_request_reader(self):
+        return RequestReader(LIMITS, self.budget)
+
     def test_all_connections_together_are_bounded(self):
         budget = MemoryBudget(1_000_000)
         readers = [ResponseReader(MAX_RESPONSE_BYTES, budget) for _ in range(20)]
