Let the largest message give way when too many bytes are held

Change: the largest message that is being received gives way.

Test first: test_largest_message_gives_way_and_its_neighbours_do_not; before, readers[0] raised BadResponse in its place.

--- a/currantwharf/gateway/call_metrics.py
+++ b/currantwharf/gateway/call_metrics.py
@@ -1,9 +1,16 @@
 """Counters and histograms of calls in the Prometheus exposition format."""
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
 
 from currantwharf.gateway.call_result import CallResult
 from currantwharf.gateway.running_call import RunningCall
+from currantwharf.http1 import PROCESS_BUDGET
 
 # Upper bounds, from the latency of a near shard to the longest deadlines.
 LATENCY_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 15.0)
@@ -47,6 +54,13 @@
             ("class", "kind"),
             registry=self.registry,
         )
+        self._held_bytes = Gauge(
+            "currantwharf_held_bytes",
+            "Bytes of messages that are being received, on all connections",
+            registry=self.registry,
+        )
+        self._held_bytes.set_function(lambda: PROCESS_BUDGET.used)
+        PROCESS_BUDGET.on_eviction = lambda: self.count_event("messages_evicted")
         self._events = Counter(
             "currantwharf_events",
             "Events of this instance",
--- a/currantwharf/http1/__init__.py
+++ b/currantwharf/http1/__init__.py
@@ -15,7 +15,7 @@
     parse_decimal,
     parse_signed_count,
 )
-from currantwharf.http1.memory_budget import MemoryBudget
+from currantwharf.http1.memory_budget import PROCESS_BUDGET, MemoryBudget
 from currantwharf.http1.message import (
     Header,
     HttpRequest,
@@ -41,6 +41,7 @@
     "HttpRequest",
     "HttpResponse",
     "MemoryBudget",
+    "PROCESS_BUDGET",
     "RequestLimits",
     "RequestReader",
     "Responder",
--- a/currantwharf/http1/backend_connection.py
+++ b/currantwharf/http1/backend_connection.py
@@ -66,7 +66,10 @@
         self._on_connected = on_connected
         self._on_free = on_free
         self._on_closed = on_closed
-        self._reader = ResponseReader(MAX_RESPONSE_BYTES)
+        self._reader = ResponseReader(
+            MAX_RESPONSE_BYTES,
+            on_evicted=lambda: self.abort(ConnectionFailure.TOO_LARGE),
+        )
         self._has_unexpected_data = False
 
     def connectionMade(self) -> None:  # noqa: N802
--- a/currantwharf/http1/caller_connection.py
+++ b/currantwharf/http1/caller_connection.py
@@ -49,7 +49,7 @@
         self._is_closing = is_closing
         self._on_closed = on_closed
         self._budget = budget
-        self._reader = RequestReader(limits, budget)
+        self._reader = RequestReader(limits, budget, self._on_evicted)
         self._queue: deque[HttpRequest | BadRequest] = deque()
         self._queued_bytes = 0
         self._responder: Responder | None = None
@@ -127,6 +127,12 @@
         if self.transport is not None:
             self.transport.loseConnection()
 
+    def _on_evicted(self) -> None:
+        """Refuse the request being read, after those that were read before it."""
+        self._is_ended = True
+        self._queue.append(BadRequest(503, "not run: too many bytes are held"))
+        self._handle_next()
+
     def _enqueue(self, requests: list[HttpRequest]) -> bool:
         """Queue requests; return whether there is room for them."""
         size = sum(len(request.body) for request in requests)
--- a/currantwharf/http1/receive_meter.py
+++ b/currantwharf/http1/receive_meter.py
@@ -1,5 +1,7 @@
 """Count of the bytes of one message while it is received."""
 
+from collections.abc import Callable
+
 from currantwharf.http1.memory_budget import MemoryBudget
 
 # A chunk that holds one byte takes six bytes on the wire, and a few more if its size
@@ -13,21 +15,22 @@
     A parser reports a header only when its line is complete, and says nothing of blank
     lines, chunk extensions and trailers. So bytes are counted as they arrive. Those
     that are not part of the body are the message's framing, which has a bound of its
-    own.
+    own. `held` is the number of bytes received, and `evict` gives the message up.
     """
 
-    __slots__ = ("_budget", "_received", "_body")
+    __slots__ = ("evict", "held", "_budget", "_body")
 
-    def __init__(self, budget: MemoryBudget) -> None:
+    def __init__(self, budget: MemoryBudget, on_evicted: Callable[[], None]) -> None:
+        self.evict = on_evicted
+        self.held = 0
         self._budget = budget
-        self._received = 0
         self._body = 0
 
     def add(self, count: int) -> bool:
         """Count received bytes; return False if the budget has too few left."""
-        if not self._budget.try_reserve(count):
+        if not self._budget.reserve_for(self, count):
             return False
-        self._received += count
+        self.held += count
         return True
 
     def add_body(self, count: int) -> None:
@@ -37,9 +40,9 @@
     def exceeds(self, max_framing_bytes: int) -> bool:
         """Return whether the framing is longer than its bound."""
         allowed = max_framing_bytes + MAX_FRAMING_BYTES_PER_BODY_BYTE * self._body
-        return self._received - self._body > allowed
+        return self.held - self._body > allowed
 
     def reset(self) -> None:
         """Release the bytes, since their message is complete or dropped."""
-        self._budget.release(self._received)
-        self._received = self._body = 0
+        self._budget.release_for(self)
+        self.held = self._body = 0
--- a/currantwharf/http1/request_reader.py
+++ b/currantwharf/http1/request_reader.py
@@ -1,5 +1,6 @@
 """An incremental reader of the requests on one connection."""
 
+from collections.abc import Callable
 from typing import Any
 
 import httptools
@@ -33,10 +34,15 @@
     `is_between_messages` is true if the bytes read so far end with a request,
     `is_reading_headers` if they end within the headers of one. `expects_continue` is
     true if the caller waits for an interim response before it sends the body.
+    `on_evicted` is called if the request has to give way to others; the reader is
+    closed then.
     """
 
     def __init__(
-        self, limits: RequestLimits, budget: MemoryBudget = PROCESS_BUDGET
+        self,
+        limits: RequestLimits,
+        budget: MemoryBudget = PROCESS_BUDGET,
+        on_evicted: Callable[[], None] = lambda: None,
     ) -> None:
         self.limits = limits
         self.is_between_messages = True
@@ -44,7 +50,8 @@
         self.expects_continue = False
         self._parser: Any = httptools.HttpRequestParser(self)
         self._completed: list[HttpRequest] = []
-        self._meter = ReceiveMeter(budget)
+        self._meter = ReceiveMeter(budget, self._give_way)
+        self._on_evicted = on_evicted
         self._reset()
 
     def feed(self, data: bytes) -> list[HttpRequest]:
@@ -93,6 +100,10 @@
         self._parser = None
         self._meter.reset()
 
+    def _give_way(self) -> None:
+        self.close()
+        self._on_evicted()
+
     def _max_framing_bytes(self) -> int:
         return (
             MAX_TARGET_BYTES
--- a/currantwharf/http1/response_reader.py
+++ b/currantwharf/http1/response_reader.py
@@ -1,5 +1,6 @@
 """An incremental reader of the responses on one connection."""
 
+from collections.abc import Callable
 from typing import Any
 
 import httptools
@@ -33,10 +34,16 @@
     `is_close_delimited` is true if the response being read has neither a length nor
     chunks, so that it ends with its connection. `has_interim_response` is true after
     an interim (1xx) response. At most `max_bytes` of headers and body are kept, and
-    the memory of what is being read comes from `budget`.
+    the memory of what is being read comes from `budget`. `on_evicted` is called if it
+    has to give way to others; the reader is closed then.
     """
 
-    def __init__(self, max_bytes: int, budget: MemoryBudget = PROCESS_BUDGET) -> None:
+    def __init__(
+        self,
+        max_bytes: int,
+        budget: MemoryBudget = PROCESS_BUDGET,
+        on_evicted: Callable[[], None] = lambda: None,
+    ) -> None:
         self.is_between_messages = True
         self.is_close_delimited = False
         self.keep_alive = True
@@ -47,7 +54,8 @@
         self._body = bytearray()
         self._size = 0
         self._completed: list[HttpResponse] = []
-        self._meter = ReceiveMeter(budget)
+        self._meter = ReceiveMeter(budget, self._give_way)
+        self._on_evicted = on_evicted
 
     def feed(self, data: bytes) -> list[HttpResponse]:
         """Parse bytes and return the responses that they complete.
@@ -95,6 +103,10 @@
         self._parser = None
         self._meter.reset()
 
+    def _give_way(self) -> None:
+        self.close()
+        self._on_evicted()
+
     def finish(self) -> HttpResponse | None:
         """Return the response that the end of the connection completes, if any."""
         if self.is_between_messages or not self.is_close_delimited:
--- a/currantwharf/http1/tests/test_endless_messages.py
+++ b/currantwharf/http1/tests/test_endless_messages.py
@@ -110,6 +110,49 @@
                     held = self.measure_held_bytes(make_reader, message, error)
                     self.assertLess(held, 2 * self.budget.max_bytes)
 
+    def test_largest_message_gives_way_and_its_neighbours_do_not(self):
+        """Guards against answers that are lost for another server's endless body."""
+        events, evicted = [], []
+        budget = MemoryBudget(1_000_000)
+        budget.on_eviction = lambda: events.append(True)
+        head, _ = ENDLESS_RESPONSES["body until the end"]
+        readers = [
+            ResponseReader(
+                MAX_RESPONSE_BYTES, budget, lambda n=number: evicted.append(n)
+            )
+            for number in range(3)
+        ]
+        for reader, size in zip(readers, (100_000, 700_000, 150_000), strict=True):
+            reader.feed(head + b"x" * size)
+        readers[0].feed(b"x" * 100_000)
+        self.assertEqual((evicted, len(events)), ([1], 1))
+        self.assertLess(budget.used, 400_000)
+        with self.assertRaises(BadResponse):
+            readers[2].feed(b"x" * 1_000_000)
+        self.assertEqual((evicted, len(events)), ([1], 2))
+
+    def test_caller_whose_request_gives_way_is_refused(self):
+        budget = MemoryBudget(100_000)
+        conn = CallerConnection(
+            lambda request, responder: None,
+            LIMITS,
+            lambda: 0.0,
+            lambda: False,
+            lambda conn: None,
+            budget,
+        )
+        transport = StringTransport()
+        conn.makeConnection(transport)
+        conn.dataReceived(
+            b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n"
+            + b"x" * 80_000
+        )
+        other = ResponseReader(MAX_RESPONSE_BYTES, budget)
+        other.feed(ENDLESS_RESPONSES["body until the end"][0] + b"x" * 30_000)
+        self.assertTrue(transport.value().startswith(b"HTTP/1.1 503 "))
+        self.assertTrue(transport.disconnecting)
+        self.assertLess(budget.used, 31_000)
+
     def make_response_reader(self):
         return ResponseReader(MAX_RESPONSE_BYTES, self.budget)
 
