Keep what a server has said of itself while its registration lapses

Cause: the removal of a registration dropped everything known of the server, although the time is kept by the start of the server, which is the same after the return. The same for servers that say that they leave, and for limits.

Change: what a server has said of itself is kept while it holds, registered or not. A new start of the server is bound by none of it.

Test first: LapsedRegistrationTests; three of its tests fail at the commit before (None is not TURNED_AWAY, None is not LEAVING, None != 1.0).

--- a/currantwharf/gateway/gateway.py
+++ b/currantwharf/gateway/gateway.py
@@ -234,8 +234,7 @@
         if self.chooser.crash_watch.has_new_losses:
             self.chooser.crash_watch.has_new_losses = False
             self.peers.send_to_all()
-        self.chooser.server_limits.expire(now)
-        self.chooser.turned_away.expire(now)
+        self.chooser.expire(now)
         if self.chooser.server_limits.has_news:
             self.chooser.server_limits.has_news = False
             self.peers.announce_change()
--- a/currantwharf/gateway/leaving_servers.py
+++ b/currantwharf/gateway/leaving_servers.py
@@ -6,6 +6,8 @@
 part of that time.
 """
 
+from collections.abc import Callable
+
 from currantwharf.gateway.server_entry import ServerEntry
 from currantwharf.runtime.component_log import component_logger
 
@@ -13,6 +15,10 @@
 # wait for a connection, and for the way.
 USABLE_DRAIN_RATIO = 0.5
 
+# How long a notice is kept of a server without a registration, which may only have
+# lapsed. Servers that leave serve on for many seconds.
+NOTICE_TIME_TO_LIVE_S = 300.0
+
 log = component_logger("leaving")
 
 
@@ -49,6 +55,8 @@
             return False
         return now - self._noticed[entry.server][1] >= drain_s * USABLE_DRAIN_RATIO
 
-    def forget(self, server: str) -> None:
-        """Drop what is known of a server that is gone."""
-        self._noticed.pop(server, None)
+    def expire(self, is_registered: Callable[[str], bool], now: float) -> None:
+        """Drop what servers have said that are gone for good."""
+        for server, (_, noticed_at) in list(self._noticed.items()):
+            if now - noticed_at > NOTICE_TIME_TO_LIVE_S and not is_registered(server):
+                del self._noticed[server]
--- a/currantwharf/gateway/registry.py
+++ b/currantwharf/gateway/registry.py
@@ -257,8 +257,11 @@
     def _(self, change: ServerChanged, revision: int, now: float) -> bool:
         self._doubts.settle_server(change.entry.server)
         known = self.directory.find_used(change.entry.server)
+        last = self.directory.find_last(change.entry.server)
         is_new = self.directory.put(change.entry, revision)
         if is_new:
+            if last is not None and change.entry.is_restart_of(last):
+                self._chooser.on_restarted(last.server)
             if known is not None and change.entry.is_restart_of(known):
                 self._chooser.crash_watch.on_restarted(known.server, now)
                 self.on_restarted(known.server)
--- a/currantwharf/gateway/server_choice.py
+++ b/currantwharf/gateway/server_choice.py
@@ -421,15 +421,28 @@
             self.get_evidence(entry).cold_until = now + entry.warm_up_s
 
     def forget(self, server: str) -> None:
-        """Delete the evidence about a server that is gone."""
+        """Delete the evidence about a server that is gone, or has started again.
+
+        What it has said of itself is kept while that holds: its registration may only
+        have lapsed, and then the same start of it returns.
+        """
         self._evidence_by_server.pop(server, None)
         self.cold_limit.forget(server)
-        self.leaving_servers.forget(server)
-        self.turned_away.forget(server)
-        self.server_limits.forget(server)
         self.sharing.forget(server)
         self._misdirected_servers.discard(server)
 
+    def on_restarted(self, server: str) -> None:
+        """Delete what an earlier start of a server has said that names no start."""
+        self.server_limits.forget(server)
+
+    def expire(self, now: float) -> None:
+        """Delete what servers have said that does not hold any more."""
+        self.server_limits.expire(now)
+        self.turned_away.expire(now)
+        self.leaving_servers.expire(
+            lambda server: self.directory.find_used(server) is not None, now
+        )
+
     def get_evidence(self, entry: ServerEntry) -> ServerEvidence:
         """Return the evidence about a server, created at its first use."""
         evidence = self._evidence_by_server.get(entry.server)
--- a/currantwharf/gateway/server_directory.py
+++ b/currantwharf/gateway/server_directory.py
@@ -63,7 +63,7 @@
 
     def mark_left(self, server: str, now: float) -> None:
         """Use a server no more, until any later change of its registration."""
-        last = self.find_used(server) or self._last_entry(server)
+        last = self.find_last(server)
         self._remove_from_service(server)
         self._entries.pop(server, None)
         self._removed[server] = _Removal(0, now, None, False, last)
@@ -115,6 +115,10 @@
         removal = self._removed.get(server)
         return removal.kept_entry if removal is not None else None
 
+    def find_last(self, server: str) -> ServerEntry | None:
+        """Return the last known registration of a server, in use or not, or None."""
+        return self.find_used(server) or self._last_entry(server)
+
     def holds(self, entry: ServerEntry) -> bool:
         """Return whether this registration is known, or one that was written later."""
         known = self.get(entry.server)
--- a/currantwharf/gateway/tests/test_turned_away.py
+++ b/currantwharf/gateway/tests/test_turned_away.py
@@ -1,10 +1,15 @@
 import unittest
+from dataclasses import replace
 
 from currantwharf.gateway.backend_answer import Verdict
 from currantwharf.gateway.call_actions import FinishCall, SendAttempt
 from currantwharf.gateway.call_result import CallOutcome, CallReason
+from currantwharf.gateway.changes import RevisedChange
 from currantwharf.gateway.ineligibility import Ineligibility
+from currantwharf.gateway.leaving_servers import NOTICE_TIME_TO_LIVE_S
+from currantwharf.gateway.registry import Registry
 from currantwharf.gateway.running_call import RunningCall
+from currantwharf.gateway.store_change import ServerChanged, ServerRemoved
 from currantwharf.tests.gateway_builders import (
     FAR,
     make_answer,
@@ -89,3 +94,62 @@
         self.assertTrue(self.chooser.turned_away.has_any)
         self.chooser.turned_away.expire(2.0)
         self.assertFalse(self.chooser.turned_away.has_any)
+
+
+class LapsedRegistrationTests(unittest.TestCase):
+    """A registration lapses and returns, of a server that never stopped."""
+
+    def setUp(self):
+        self.entry = make_entry("s1", started_ms=1000, sequence=5)
+        self.chooser = make_chooser([])
+        self.registry = Registry(self.chooser.directory, self.chooser)
+        self.change(11, ServerChanged(self.entry), 0.0)
+
+    def change(self, revision, change, now):
+        self.registry.apply_change(RevisedChange(revision, change), now)
+
+    def answer(self, **fields):
+        answer = make_answer(Verdict.REJECTED, 503, **fields)
+        self.chooser.on_send(self.entry, 0, 1.0)
+        self.chooser.on_result(answer, self.entry, 0, 1.0)
+
+    def lapse_and_return(self, **fields):
+        self.change(12, ServerRemoved("s1"), 2.0)
+        self.chooser.forget("s1")
+        self.chooser.expire(3.0)
+        returned = replace(self.entry, sequence=8, **fields)
+        self.change(13, ServerChanged(returned), 4.0)
+        return returned
+
+    def find(self, entry, now):
+        return self.chooser.find_ineligibility(entry, make_route(), (), now)
+
+    def test_server_still_wants_nothing(self):
+        """Guards against requests to a server that has said when to come back."""
+        self.answer(wants_nothing_s=12.0)
+        returned = self.lapse_and_return()
+        self.assertIs(self.find(returned, 12.9), Ineligibility.TURNED_AWAY)
+        self.assertIsNone(self.find(returned, 13.0))
+
+    def test_server_still_leaves(self):
+        self.answer(is_leaving=True)
+        returned = self.lapse_and_return()
+        self.assertIs(self.find(returned, 10.0), Ineligibility.LEAVING)
+
+    def test_limit_of_the_server_still_holds(self):
+        self.answer(limit_per_s=1.0)
+        self.lapse_and_return()
+        self.assertEqual(self.chooser.server_limits.get_limit("s1", 5.0), 1.0)
+
+    def test_new_start_of_the_server_is_not_bound(self):
+        self.answer(wants_nothing_s=12.0, is_leaving=True, limit_per_s=0.1)
+        returned = self.lapse_and_return(started_ms=2000)
+        self.assertIsNone(self.find(returned, 10.0))
+
+    def test_notice_of_a_server_that_is_gone_is_not_kept_for_good(self):
+        self.answer(is_leaving=True)
+        self.change(12, ServerRemoved("s1"), 2.0)
+        self.chooser.expire(1.0 + NOTICE_TIME_TO_LIVE_S)
+        self.assertTrue(self.chooser.leaving_servers.is_leaving(self.entry))
+        self.chooser.expire(1.1 + NOTICE_TIME_TO_LIVE_S)
+        self.assertFalse(self.chooser.leaving_servers.is_leaving(self.entry))
--- a/currantwharf/gateway/turned_away.py
+++ b/currantwharf/gateway/turned_away.py
@@ -50,7 +50,3 @@
         for server, (_, until) in list(self._until.items()):
             if now >= until:
                 del self._until[server]
-
-    def forget(self, server: str) -> None:
-        """Drop what is known of a server that is gone."""
-        self._until.pop(server, None)
