Save up no more requests for a cold server than it bears at once

Cause: each instance's bucket holds a token at least, and up to a second's worth, and fills while the server gets nothing. So the fleet saves up as many requests as it has instances, whatever the rate.

--- a/currantwharf/gateway/tests/test_cold_limit.py
+++ b/currantwharf/gateway/tests/test_cold_limit.py
@@ -45,6 +45,19 @@
                 self.assertLessEqual(max_sends_in_a_second(sends), rate * 1.5 + 5)
                 self.assertGreater(len(sends), rate * 2)
 
+    def test_instances_do_not_save_up_requests_for_a_cold_server(self):
+        """Guards against a whole fleet that turns to a cold server at once."""
+        entry = make_entry()
+        for instances, rate in ((3, 20.0), (9, 4.0), (15, 4.0), (60, 6.0), (60, 12.0)):
+            with self.subTest(instances=instances, rate=rate):
+                limits = make_fleet_limits(instances, rate)
+                for limit in limits:
+                    limit.can_send(entry, 0.0)
+                for start in range(30, 90, 10):
+                    sends = simulate_sends(limits, entry, 2.0, float(start))
+                    self.assertLessEqual(max_sends_in_a_second(sends), rate * 1.5 + 5)
+                    self.assertGreater(len(sends), rate / 2)
+
     def test_instance_with_a_tiny_share_sends_nothing(self):
         limit = make_fleet_limits(1, 10.0)[0]
         limit.share = 0.001
--- a/currantwharf/gateway/token_buckets.py
+++ b/currantwharf/gateway/token_buckets.py
@@ -6,7 +6,7 @@
 
 
 class TokenBuckets:
-    """One bucket for each server, which holds one second's worth of tokens, at least 1.
+    """One bucket for each server, of `capacity_s` seconds and one token at least.
 
     Rates are in tokens per second. The instance's name determines the initial fill of
     each bucket, so that the first requests of all instances are spread over time.
@@ -16,22 +16,34 @@
     True
     """
 
-    def __init__(self, instance: str) -> None:
+    def __init__(self, instance: str, capacity_s: float = 1.0) -> None:
         self._instance = instance
+        self._capacity_s = capacity_s
         self._buckets: dict[str, tuple[float, float]] = {}
 
-    def count(self, server: str, rate: float, now: float) -> float:
-        """Return the tokens in a server's bucket, which is filled at `rate`."""
+    def count(
+        self, server: str, rate: float, now: float, keep_s: float | None = None
+    ) -> float:
+        """Return the tokens in a server's bucket, which is filled at `rate`.
+
+        A token that is not spent within `keep_s` seconds, if that is given, is lost.
+        """
         bucket = self._buckets.get(server)
         if bucket is None:
             bucket = score(self._instance, server) / SCORE_RANGE, now
             self._buckets[server] = bucket
         tokens, updated_at = bucket
-        return min(max(1.0, rate), tokens + (now - updated_at) * rate)
-
-    def spend(self, server: str, rate: float, now: float) -> None:
+        tokens += (now - updated_at) * rate
+        if keep_s is not None and tokens >= 1.0:
+            part = tokens % 1.0
+            return part + (part <= keep_s * rate)
+        return min(max(1.0, rate * self._capacity_s), tokens)
+
+    def spend(
+        self, server: str, rate: float, now: float, keep_s: float | None = None
+    ) -> None:
         """Take a token out of a server's bucket, which may be empty."""
-        self._buckets[server] = (self.count(server, rate, now) - 1.0, now)
+        self._buckets[server] = (self.count(server, rate, now, keep_s) - 1.0, now)
 
     def forget(self, server: str) -> None:
         """Delete the bucket of a server."""
