Hedge no call beyond the sends that it has numbers for

Callers could see (left by the review, by reading): a call that is rejected five times and then hedged makes a seventh send, which takes the number of the next call's first attempt. The answer to one then ends the attempt of the other.

Cause: the limit of sends for a part was asked for when it is sent, not when it is hedged. Requests that are withdrawn before they are sent use numbers too.

Change: an attempt with the last number is not hedged.

Test first: test_hedge_after_rejections_does_not_use_a_number_of_the_next_call; before, attempts 0 to 6 where 0 to 5 are the call's own.

--- a/currantwharf/gateway/running_call.py
+++ b/currantwharf/gateway/running_call.py
@@ -284,7 +284,12 @@
         part.possible_runs += 1
         part.sends += 1
         part.retry_at = None
-        if self.route.idempotent and part.possible_runs < self.route.most_servers:
+        may_be_hedged = (
+            self.route.idempotent
+            and part.possible_runs < self.route.most_servers
+            and part.sends < MAX_SENDS_PER_PART
+        )
+        if may_be_hedged:
             target_at = self.request.target_at
             part.hedge_at = self._chooser.compute_hedge_time(entry, target_at, now)
         else:
--- a/currantwharf/gateway/tests/test_running_call.py
+++ b/currantwharf/gateway/tests/test_running_call.py
@@ -291,3 +291,23 @@
         self.chooser.directory.put(make_entry("c", "longan"), 2)
         actions = self.call.wake(0.05)
         self.assertEqual(self.attempts_by_server(actions), {})
+
+
+class SendLimitTests(CallTestCase):
+    def test_hedge_after_rejections_does_not_use_a_number_of_the_next_call(self):
+        """Guards against an answer that ends another call's attempt."""
+        entries = [make_entry(f"s{number}") for number in range(8)]
+        limits = GatewayLimits(repeat_ratio=0.2, repeat_slack=12_000.0)
+        route = make_route(most_servers=2)
+        actions = self.start_call(route, ["camphor"], entries, limits)
+        attempts, now = [], 0.0
+        for _ in range(20):
+            attempts += self.attempts_by_server(actions).values()
+            now += 0.01
+            if len(attempts) < RunningCall.max_attempts(1):
+                rejected = make_answer(Verdict.REJECTED, 503)
+                actions = self.call.on_attempt_result(attempts[-1], rejected, now)
+            else:
+                now = max(now, self.call.next_wake_at(now))
+                actions = self.call.wake(now)
+        self.assertEqual(attempts, list(range(RunningCall.max_attempts(1))))
