Let a target be as long as the headers may be

Callers could see (left by the review, by reading): a target above 8,192 bytes gets 414 even if the configuration allows longer headers, which count the target.

Test first: test_target_may_be_as_long_as_the_headers; before, 0 != 1 requests handled.

--- a/currantwharf/http1/request_reader.py
+++ b/currantwharf/http1/request_reader.py
@@ -11,7 +11,7 @@
 from currantwharf.http1.receive_meter import ReceiveMeter
 from currantwharf.http1.request_limits import RequestLimits
 
-MAX_TARGET_BYTES = 8_192  # the length that servers and proxies commonly accept
+MIN_TARGET_LIMIT = 8_192  # the length that servers and proxies commonly accept
 # Bytes on the wire for each byte of a header's name and value: a line with a name of
 # one letter and no value takes four.
 MAX_FRAMING_BYTES_PER_HEADER_BYTE = 4
@@ -104,9 +104,13 @@
         self.close()
         self._on_evicted()
 
+    def _target_limit(self) -> int:
+        """Return the longest target, which the limit on headers may raise."""
+        return max(MIN_TARGET_LIMIT, self.limits.header_bytes)
+
     def _max_framing_bytes(self) -> int:
         return (
-            MAX_TARGET_BYTES
+            self._target_limit()
             + MAX_FRAMING_BYTES_PER_HEADER_BYTE * self.limits.header_bytes
         )
 
@@ -129,7 +133,7 @@
     def on_url(self, target: bytes) -> None:
         """Store a piece of the target."""
         self._head_size += len(target)
-        if self._head_size > MAX_TARGET_BYTES:
+        if self._head_size > self._target_limit():
             raise BadRequest(414, "the target is too long")
         self._target.append(target)
 
--- a/currantwharf/http1/tests/test_caller_connection.py
+++ b/currantwharf/http1/tests/test_caller_connection.py
@@ -65,6 +65,12 @@
                 self.assertEqual(self.transport.value()[9:12], status)
                 self.assertTrue(self.transport.disconnecting)
 
+    def test_target_may_be_as_long_as_the_headers(self):
+        """Guards against a 414 for what the configuration allows."""
+        self.conn.set_limits(RequestLimits(header_bytes=20_000))
+        self.conn.dataReceived(b"GET /" + b"y" * 12_000 + b" HTTP/1.1\r\n\r\n")
+        self.assertEqual(len(self.handled), 1)
+
     def test_unexpected_error_is_answered_and_affects_no_other_request(self):
         def fail_first(request, responder):
             self.handled.append((request, responder))
